Tell an upstream how long its answer is waited for, not how long the client waits

Cause: the driver wrote the client's time left into X-Budget; PROTOCOL asks for the time that the balancer will wait, which the module cuts to the aim where a late answer is worth nothing.

Ruled out: a clock or parsing fault; the figure on the wire was the client's to within a millisecond.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -369,7 +369,7 @@
         if idle.is_none() && !self.idle.make_room() {
             return self.not_sent(id, number);
         }
-        let request = forwarded(&open.request, address, open.deadline - now);
+        let request = forwarded(&open.request, address, until - now);
         let (cancel, cancelled) = oneshot::channel::<()>();
         open.out.push(Out { number, server, upstream, sent: now, cancel: Some(cancel) });
         let (inputs, until) = (self.inputs.clone(), self.clock.instant(until));
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -37,6 +37,21 @@
     assert!(budget > 0.0 && budget < 12.5, "the upstream is told {budget}");
 }
 
+/// Guards the tiers behind against work for an answer that nobody waits for any more.
+#[test]
+fn tells_an_upstream_how_long_its_answer_is_waited_for() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["settings"]["Classes"][0]["LateWorth"] = 0.0.into();
+    config["settings"]["Classes"][0]["AimNs"] = 20_000_000_000_u64.into();
+    assert_eq!(Program::start(&config).call("look").status(), 200);
+    let budget: f64 = upstream.request().headers["x-budget"].parse().unwrap();
+    assert!(
+        budget <= 20.0,
+        "the caller waits for {LONG} s, the balancer for 20 s, the upstream hears {budget}"
+    );
+}
+
 #[test]
 fn uses_a_connection_again() {
     let upstream = Upstream::start(|_| Act::Answer(ok("")));
