Trip a stuck server in a jam, and open its breaker once for a burst of failures

Cause: two faults of one breaker. A time-out counted only above twice the class's mean, which the time-outs raise themselves: in a jam they excuse themselves, and the stuck server stays in turn. And each call of a burst that was still out when the breaker opened opened it anew (a log line says 23 times in 5 s), so that the open time was at its cap at once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -690,16 +690,21 @@
         !breaker.tripped || (!breaker.trial && self.now >= breaker.open_until.saturating_add(patience))
     }
 
-    fn breaker_failure(&mut self, at: usize) {
+    /// A failure of a call that was sent before its breaker opened tells nothing that the breaker does not
+    /// know: one burst would open it many times over, up to the longest open time.
+    fn breaker_failure(&mut self, at: usize, sent: Time) {
         self.failing += GAIN * (1.0 - self.failing);
         self.pools[self.servers[at].zone].learn_failing(true, self.now, GAIN, SURPLUS.1);
         let row = (FALSE_TRIP.ln() / self.failing.clamp(0.001, 0.999).ln()).ceil().clamp(ROW.0, ROW.1);
         let breaker = &mut self.servers[at].breaker;
+        if sent < breaker.opened_at {
+            return;
+        }
         let on_probation = breaker.opens > 0 && breaker.successes < PROBATION.0;
         (breaker.failures, breaker.successes) = (breaker.failures + 1, 0);
         if f64::from(breaker.failures) >= row || on_probation {
             (breaker.failures, breaker.opens) = (0, breaker.opens + 1);
-            breaker.open_until = self.now + doubling(OPEN, breaker.opens);
+            (breaker.opened_at, breaker.open_until) = (self.now, self.now + doubling(OPEN, breaker.opens));
             let (opens, server) = (breaker.opens, self.servers[at].id.0);
             self.set_tripped(at, true);
             self.log(Topic::Breaker, format!("breaker of server {server} opened, {opens} times lately"));
@@ -753,7 +758,7 @@
         request.marks += 1;
         if request.marks == 2 {
             let idle = request.idle;
-            return self.failure(at, idle);
+            return self.failure(at, idle, sent);
         } else if request.marks > 2 {
             return;
         }
@@ -818,6 +823,7 @@
 
     fn learn(&mut self, request: &Request, at: usize, end: &End) {
         let took = end.elapsed as f64;
+        let sent = self.now.saturating_sub(end.elapsed);
         if matches!(end.outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Timeout | Outcome::Full) {
             let least = if end.outcome == Outcome::Full { 1.0 } else { 0.0 };
             let lateness = (took / self.settings.classes[request.class].aim.max(1) as f64).max(least);
@@ -831,8 +837,9 @@
                 self.idle_risk.learn(request.idle, false, self.now, IDLE_GAIN.0, IDLE_GAIN.1);
                 self.breaker_success(at);
             }
-            // A limit that is short even for a sound server is the caller's fault.
-            Outcome::Timeout if request.marks >= 2 || took < 2.0 * self.classes[request.class].mean => {}
+            // A limit that is short even for a sound server is the caller's fault. The time-outs of a stuck one
+            // raise the mean, and would excuse themselves.
+            Outcome::Timeout if request.marks >= 2 || took < 2.0 * self.classes[request.class].calm => {}
             // Answered at once, refusals never fill the limit: the only server that is not at its limit
             // would get all turns. It is at its limit until a call has had the time to end.
             Outcome::Full => self.servers[at].full_until = self.now + self.overall.calm as Duration,
@@ -842,8 +849,8 @@
                 (server.open, server.conn_limit) = (server.in_flight, Some((server.in_flight, self.now)));
             }
             Outcome::Cancelled | Outcome::Moot | Outcome::Declined => {}
-            Outcome::Error | Outcome::ConnectFailed => self.breaker_failure(at),
-            _ => self.failure(at, request.idle),
+            Outcome::Error | Outcome::ConnectFailed => self.breaker_failure(at, sent),
+            _ => self.failure(at, request.idle, sent),
         }
         if matches!(end.outcome, Outcome::Ok | Outcome::Timeout) {
             self.learn_slowness(at, request.class, end.elapsed);
@@ -856,13 +863,13 @@
     }
 
     /// A call without an answer tells of its server, or of its connection where idle ones fail.
-    fn failure(&mut self, at: usize, idle: usize) {
+    fn failure(&mut self, at: usize, idle: usize, sent: Time) {
         self.idle_risk.learn(idle, true, self.now, IDLE_GAIN.0, IDLE_GAIN.1);
         if idle > 0 {
             self.close_idle(at); // the next failure there is not for this reason
         }
         if idle == 0 || !self.idle_fails(idle, IDLE_RISK.1) {
-            self.breaker_failure(at);
+            self.breaker_failure(at, sent);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,7 @@
     /// How often it opened lately.
     pub opens: u32,
     pub tripped: bool,
+    pub opened_at: Time,
     pub open_until: Time,
     /// A trial is out.
     pub trial: bool,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -89,6 +89,40 @@
     assert!(!after.contains(&1), "{after:?}");
 }
 
+/// In a jam the mean rose, until the time-outs of a server that got stuck passed for limits that were too short.
+#[test]
+fn stuck_server_trips_in_a_jam_too() {
+    let mut rig = Rig::new(settings(), &zones(1, 2));
+    (0..100).for_each(|_| drop(rig.serve(UNSAFE, 20 * MS)));
+    (0..30).for_each(|_| drop(rig.serve(UNSAFE, 100 * MS)));
+    let mut stuck = 0;
+    for _ in 0..14 {
+        let (id, actions) = rig.demand(UNSAFE);
+        let outcome = if sent(&actions) == Some(1) { Outcome::Timeout } else { Outcome::Ok };
+        stuck += u32::from(outcome == Outcome::Timeout);
+        rig.now += 90 * MS;
+        rig.end(id, 0, outcome, 90 * MS);
+    }
+    assert!(stuck <= 3, "{stuck} of 14 calls went to the server that answers none");
+}
+
+/// The calls of one burst each opened the breaker anew: its open time reached the cap, and a healed server idled.
+#[test]
+fn burst_of_failures_opens_a_breaker_once() {
+    let mut rig = Rig::new(settings(), &zones(1, 2));
+    rig.warm_up(100);
+    let burst: Vec<_> = (0..16).map(|_| rig.demand(UNSAFE)).collect();
+    for (id, actions) in burst {
+        let outcome = if sent(&actions) == Some(1) { Outcome::Reset } else { Outcome::Ok };
+        rig.end(id, 0, outcome, 20 * MS);
+    }
+    let open: Vec<_> = (0..4).filter_map(|_| rig.serve(SAFE, MS)).collect();
+    assert_eq!(open, [0; 4], "it is open");
+    rig.now += 1100 * MS;
+    let trial: Vec<_> = (0..4).filter_map(|_| rig.serve(SAFE, MS)).collect();
+    assert!(trial.contains(&1), "the first open time is over: {trial:?}");
+}
+
 /// Heavy requests stay heavy on a retry: a limit near the mean cut them again and again.
 #[test]
 fn attempt_limit_leaves_room_for_heavy_requests() {
