Take a refusal as full for its class only, and wait longer while it goes on

Cause: one refusal made the server full for all classes for the time of a call, so its check and payment calls moved to the two others, which choked. The wait never grew: every second tag-claim was refused first, which spent the retry budget, and what could not be retried was refused.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 //! source, and the condition under which each exception acts.
 
 use crate::api::*;
-use crate::state::{Asking, Breaker, IdleRisk, Latency, Pool, Recent, Request, Server, Shedding};
+use crate::state::{Asking, Breaker, IdleRisk, Latency, Pool, Recent, Refusals, Request, Server, Shedding};
 use std::collections::{HashMap, HashSet};
 
 const SECOND: Duration = 1_000_000_000;
@@ -45,6 +45,11 @@
 const OVERDUE_DEVS: f64 = 20.0;
 /// A server that answered so lately is alive: a connection that fails is one too many for it.
 const ALIVE: Duration = SECOND;
+/// Longest time that a server is passed over for refusing calls as full, doubling up to it from the time
+/// that a call takes: what refuses a class for long would cost each of its calls an attempt.
+const REFUSING_MOST: Duration = 4 * SECOND;
+/// Classes refused at a time that make a server full for all.
+const REFUSED_CLASSES: usize = 2;
 /// Time after which a server that took no more connections is tried with one more.
 const CONN_GROWTH: Duration = 5 * SECOND;
 /// Idle connections that a server is left with: a fuller table takes its capacity, and at last refuses.
@@ -235,6 +240,7 @@
             // A new process: its predecessor's failures say nothing of it. The random start of its budget
             // keeps all siblings from sending it their first call at once.
             server.breaker = Breaker::default();
+            server.refusals.fill(Refusals::default());
             (server.budget, server.budget_at, server.slowness) = (self.rng.f64(), self.now, 1.0);
             (server.open, server.conn_limit) = (server.in_flight, None); // nor do its connections
         }
@@ -244,7 +250,8 @@
     fn add(&mut self, id: ServerId) -> usize {
         // Seeded, so that siblings that skip a server don't all hit the same next one.
         let (order, turn) = (self.rng.u64(..), self.rng.f64());
-        let server = Server { id, order, turn, slowness: 1.0, ..Server::default() };
+        let refusals = vec![Refusals::default(); self.settings.classes.len()];
+        let server = Server { id, order, turn, slowness: 1.0, refusals, ..Server::default() };
         let at = self.free.pop().unwrap_or(self.servers.len());
         match self.servers.get_mut(at) {
             Some(place) => *place = server,
@@ -525,7 +532,7 @@
                 continue;
             }
             let server = &self.servers[at];
-            let refusing = self.now < server.full_until || self.lacks_connection(at);
+            let refusing = self.refuses(at, request.class) || self.lacks_connection(at);
             let full = refusing || f64::from(server.in_flight) >= (share * server.size).ceil().max(1.0);
             if !full && self.breaker_admits(at, request.class) {
                 self.pools[pool].cursor = position;
@@ -544,6 +551,14 @@
         Some(self.pools[pool].members[fallback])
     }
 
+    /// Whether a server is taken to refuse a class of calls. It may refuse one and serve all others: passing
+    /// it over for those too would swamp the rest.
+    fn refuses(&self, at: usize, class: usize) -> bool {
+        let refusals = &self.servers[at].refusals;
+        let refused = |refusals: &Refusals| self.now < refusals.until;
+        refused(&refusals[class]) || refusals.iter().filter(|r| refused(r)).count() >= REFUSED_CLASSES
+    }
+
     /// Whether a call would need a connection that its server did not let us have lately. Guards against
     /// servers that accept fewer than usual: each try costs the whole time of a failed connection.
     fn lacks_connection(&self, at: usize) -> bool {
@@ -834,6 +849,7 @@
             Outcome::Ok => {
                 self.served.add(self.now, 1.0, RATE_WINDOW);
                 self.servers[at].answered_at = self.now;
+                self.servers[at].refusals[request.class] = Refusals::default();
                 self.idle_risk.learn(request.idle, false, self.now, IDLE_GAIN.0, IDLE_GAIN.1);
                 self.breaker_success(at);
             }
@@ -842,7 +858,12 @@
             Outcome::Timeout if request.marks >= 2 || took < 2.0 * self.classes[request.class].calm => {}
             // Answered at once, refusals never fill the limit: the only server that is not at its limit
             // would get all turns. It is at its limit until a call has had the time to end.
-            Outcome::Full => self.servers[at].full_until = self.now + self.overall.calm as Duration,
+            Outcome::Full => {
+                let refusals = &mut self.servers[at].refusals[request.class];
+                refusals.row += 1;
+                let wait = doubling((self.overall.calm as Duration, REFUSING_MOST), refusals.row);
+                refusals.until = self.now + wait;
+            }
             // One that answers has its connections all taken: it is at its limit with those it let us have.
             Outcome::ConnectFailed if alive => {
                 let server = &mut self.servers[at];
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,8 +22,8 @@
     pub budget: f64,
     pub budget_at: Time,
     pub in_flight: u32,
-    /// It refuses calls as full, presumably until then.
-    pub full_until: Time,
+    /// Its refusals as full, for each class.
+    pub refusals: Vec<Refusals>,
     /// Connections that it let us have when it last took no more, and when that was.
     pub conn_limit: Option<(u32, Time)>,
     /// Our connections to it, open or idle.
@@ -37,6 +37,15 @@
     pub breaker: Breaker,
 }
 
+/// Calls of one class that a server refused as full.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Refusals {
+    /// It presumably goes on until then.
+    pub until: Time,
+    /// So many in a row.
+    pub row: u32,
+}
+
 /// A circuit breaker.
 #[derive(Debug, Default)]
 pub(crate) struct Breaker {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -41,6 +41,28 @@
     assert!(elsewhere >= 10, "{elsewhere} of 20 requests went elsewhere at once");
 }
 
+/// A server that refused one class was passed over for all, and its neighbours choked; and each call of that class
+/// tried it first.
+#[test]
+fn server_that_refuses_one_class_keeps_its_turns_of_the_others() {
+    let mut rig = Rig::new(settings(), &zones(1, 4));
+    rig.warm_up(100);
+    let (mut refused, mut kept) = (0, 0);
+    let mut rng = fastrand::Rng::with_seed(7); // classes in a fixed order would fall in step with the turns
+    for _ in 0..600 {
+        if rng.u8(..3) > 0 {
+            kept += u32::from(rig.serve(SAFE, 20 * MS) == Some(1));
+            continue;
+        }
+        let full = |server| if server == 1 { Outcome::Full } else { Outcome::Ok };
+        let (tried, end) = rig.run(UNSAFE, full);
+        assert_eq!(end, None, "another one serves it");
+        refused += u32::from(tried.contains(&1));
+    }
+    assert!(refused <= 15, "{refused} of some 200 calls were refused first");
+    assert!(kept >= 90, "{kept} of some 400 calls of the other class went to it");
+}
+
 /// A small server took turns by its listed size, though it served far less, and timed out a third of them.
 #[test]
 fn slow_server_gives_up_turns() {
