Serve on after SIGTERM for as long as answers come in time for the kill

The packets show one balancer closing all its connections half a second after its signal, a second before its neighbour, restarted 3 s earlier, is back: for that second no balancer takes a request.

Cause: half a second was all that callers were served for after the signal, though the kill comes no sooner than the longest deadline (counted as 3 s at the most) and 0.7 s after it. Callers go on using open connections. They are now served until an answer, which the module waits for no longer than the longest aim here, might come too late, less 0.3 s.

Ruled out: requests lost on closing (each close fell between requests); slow starts (restarts took 0.0 s).

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -24,10 +24,16 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{sleep, timeout};
-use woadstall::api::{Effect, RequestId};
+use woadstall::api::{Effect, RequestId, Settings};
+use woadstall::policy::longest_wait;
 
-/// How long connections are still taken after a signal to stop: callers hear of it late.
+/// How long callers are still served after a signal to stop, at least: they hear of it late.
 const GO_ON: Duration = Duration::from_millis(500);
+/// The kill comes no sooner after the signal than the longest deadline, counted as the first of these where it
+/// is longer, and the second. Other balancers may be down until then, so callers are served for as long as the
+/// module's answers still come in time, with a margin.
+const KILL_AFTER: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(700));
+const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Pause among new connections after which no more are waited for then.
 const LAST_LOOK: Duration = Duration::from_millis(10);
 /// How long a caller may take over a request, the first one from its connecting on; and how often that is
@@ -161,7 +167,7 @@
         let (close, closing) = watch::channel(false);
         let stopped = async {
             stopping.wait_for(|stop| *stop).await.ok();
-            sleep(GO_ON).await;
+            sleep(server.go_on()).await;
         };
         tokio::select! {
             () = server.accept(&listener, &closing) => {}
@@ -176,7 +182,7 @@
         timeout(10 * LAST_LOOK, rest).await.ok();
         drop(listener);
         close.send_replace(true);
-        let longest = server.config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let longest = longest_deadline(&server.config.settings);
         let all_left = async {
             while server.count() > 0 {
                 server.left.notified().await;
@@ -186,6 +192,14 @@
         looking.abort();
     }
 
+    /// How long callers are still served after a signal to stop.
+    fn go_on(&self) -> Duration {
+        let settings = &self.config.settings;
+        let kill = Duration::from_nanos(longest_deadline(settings)).min(KILL_AFTER.0) + KILL_AFTER.1;
+        let answers = Duration::from_nanos(longest_wait(settings)) + KILL_MARGIN;
+        kill.saturating_sub(answers).max(GO_ON)
+    }
+
     /// Cuts off the callers that take too long over a request. Guards the places of the others.
     async fn cut_overdue(self: Arc<Self>) {
         loop {
@@ -366,6 +380,10 @@
     }
 }
 
+fn longest_deadline(settings: &Settings) -> u64 {
+    settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+}
+
 /// Room in the memory for a body.
 struct Room<'a>(&'a AtomicUsize, usize);
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -988,6 +988,13 @@
     }
 }
 
+/// The longest that any request waits for its answer.
+pub fn longest_wait(settings: &Settings) -> Duration {
+    let cut = |class: &Class| class.late_worth <= 0.0 && class.aim_stretch <= 0.0;
+    let wait = |class: &Class| if cut(class) { class.aim.min(class.deadline) } else { class.deadline };
+    settings.classes.iter().map(wait).max().unwrap_or(0)
+}
+
 /// The pools that a server of a zone is in.
 fn both(pools: &mut [Pool], zone: usize) -> impl Iterator<Item = &mut Pool> {
     let all = pools.len() - 1;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -558,6 +558,30 @@
     judged
 }
 
+/// Where all balancers restart one after the other, a caller whose connection was closed at once had none to go to.
+#[test]
+fn serves_on_open_connections_until_answers_might_come_too_late() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+        class["LateWorth"] = 0.0.into();
+        class["AimNs"] = 500_000_000_u64.into();
+        class["DeadlineNs"] = 2_500_000_000_u64.into();
+    }
+    let program = Program::start(&config);
+    let mut caller = program.connect();
+    assert_eq!(caller.call("look", "2.0", "").unwrap().status(), 200);
+    let signal = Instant::now();
+    program.terminate();
+    while let Some(answer) = caller.call("look", "2.0", "") {
+        assert_eq!(answer.status(), 200);
+    }
+    // The kill comes after 2.5 s and 0.7 s at the soonest, and an answer takes 0.5 s at most.
+    assert!(signal.elapsed() > Duration::from_secs(2), "closed after {:?}", signal.elapsed());
+    let (status, log) = program.end();
+    assert!(status.success() && signal.elapsed() < Duration::from_millis(3200), "{log}");
+}
+
 #[test]
 fn names_the_field_that_is_wrong_in_its_configuration() {
     let good = config(refusing(), &[]);
