Leave a zone for its failures only where fewer calls fail elsewhere

Cause: the test on failing calls looked at the own zone alone. Where the other one fails as often, a crossing gains nothing. The threshold now stands on top of what the best other zone fails.

Ruled out: breakers (none opened at those times) and load (2 to 9 calls held).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -457,7 +457,12 @@
     fn own_zone_will_do(&self, own: usize) -> bool {
         let zone = &self.pools[own];
         let blackout = zone.tripped as f64 >= BLACKOUT * zone.members.len() as f64;
-        let failing = zone.failing(self.now, SURPLUS.1) > ZONE_FAILING + self.settings.cross_price;
+        // Where calls fail as often elsewhere, a crossing gains nothing.
+        let others = self.pools[..self.settings.zones].iter().enumerate();
+        let others = others.filter(|(zone, pool)| *zone != own && pool.healthy() >= MIN_HEALTHY);
+        let elsewhere = others.map(|(_, pool)| pool.failing(self.now, SURPLUS.1)).reduce(f64::min);
+        let bearable = ZONE_FAILING + self.settings.cross_price + elsewhere.unwrap_or(0.0);
+        let failing = zone.failing(self.now, SURPLUS.1) > bearable;
         zone.healthy() >= MIN_HEALTHY && !blackout && !failing && !self.overloaded(zone, zone.size)
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -446,6 +446,21 @@
     assert_eq!(strays(4, 0.5), 0, "crossings that cost more than they gain");
 }
 
+/// Where a part of the answers is broken everywhere, the zone was left again and again, and nothing gained.
+#[test]
+fn zone_is_kept_where_calls_fail_as_often_elsewhere() {
+    let mut rig = Rig::new(settings(), &zones(2, 40));
+    (0..100).for_each(|_| assert!(rig.serve(SAFE, 100 * MS).is_some()));
+    let mut strays = 0;
+    for call in 0..200 {
+        let (id, actions) = rig.demand(UNSAFE);
+        strays += u32::from(sent(&actions).is_some_and(|server| server >= 40));
+        rig.now += 100 * MS;
+        rig.end(id, 0, if call % 7 == 0 { Outcome::Error } else { Outcome::Ok }, 100 * MS);
+    }
+    assert!(strays < 60, "{strays} of 200 calls crossed");
+}
+
 /// In a full jam no answers come, and a lateness made of answers said that all was well: nothing was shed.
 #[test]
 fn jam_without_any_answer_is_shed() {
