Pass a server over for the one class that it fails, though it answers the others

Cause: the breaker counts failures in a row over all classes, and each answer to another class starts the row anew. Errors are now counted for each class as refusals are: after a second one in a row the server is passed over for that class, 1 s at first, doubling to 4 s.

Ruled out: load (the two servers answer in 0.2 s), the second tier (no errors there), unreadable answers (each is a plain 500).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,6 +48,8 @@
 /// Longest time that a server is passed over for refusing calls as full, doubling up to it from the time
 /// that a call takes: what refuses a class for long would cost each of its calls an attempt.
 const REFUSING_MOST: Duration = 4 * SECOND;
+/// Errors in a row that a class may get from a server before it is passed over for it: one is chance.
+const ONE_ERROR: u32 = 1;
 /// Classes refused at a time that make a server full for all.
 const REFUSED_CLASSES: usize = 2;
 /// Time after which a server that took no more connections is tried with one more.
@@ -863,19 +865,18 @@
             Outcome::Timeout if request.marks >= 2 || took < 2.0 * self.classes[request.class].calm => {}
             // Answered at once, refusals never fill the limit: the only server that is not at its limit
             // would get all turns. It is at its limit until a call has had the time to end.
-            Outcome::Full => {
-                let refusals = &mut self.servers[at].refusals[request.class];
-                refusals.row += 1;
-                let wait = doubling((self.overall.calm as Duration, REFUSING_MOST), refusals.row);
-                refusals.until = self.now + wait;
-            }
+            Outcome::Full => self.class_refused(at, request.class, self.overall.calm as Duration, 0),
             // One that answers has its connections all taken: it is at its limit with those it let us have.
             Outcome::ConnectFailed if alive => {
                 let server = &mut self.servers[at];
                 (server.open, server.conn_limit) = (server.in_flight, Some((server.in_flight, self.now)));
             }
             Outcome::Cancelled | Outcome::Moot | Outcome::Declined => {}
-            Outcome::Error | Outcome::ConnectFailed => self.breaker_failure(at, sent),
+            Outcome::Error => {
+                self.breaker_failure(at, sent);
+                self.class_refused(at, request.class, OPEN.0, ONE_ERROR);
+            }
+            Outcome::ConnectFailed => self.breaker_failure(at, sent),
             _ => self.failure(at, request.idle, sent),
         }
         if matches!(end.outcome, Outcome::Ok | Outcome::Timeout) {
@@ -888,6 +889,16 @@
         }
     }
 
+    /// A server turned a class away, or failed it: it is passed over for that class, longer each time, once
+    /// so many in a row were borne. Answers to other classes would keep its breaker closed.
+    fn class_refused(&mut self, at: usize, class: usize, first: Duration, borne: u32) {
+        let refusals = &mut self.servers[at].refusals[class];
+        refusals.row += 1;
+        if refusals.row > borne {
+            refusals.until = self.now + doubling((first, REFUSING_MOST), refusals.row - borne);
+        }
+    }
+
     /// A call without an answer tells of its server, or of its connection where idle ones fail.
     fn failure(&mut self, at: usize, idle: usize, sent: Time) {
         self.idle_risk.learn(idle, true, self.now, IDLE_GAIN.0, IDLE_GAIN.1);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -63,6 +63,25 @@
     assert!(kept >= 90, "{kept} of some 400 calls of the other class went to it");
 }
 
+/// A server that failed one class kept its breaker closed by its answers to the others, and a quarter of it failed.
+#[test]
+fn server_that_fails_one_class_gets_no_more_of_it() {
+    let mut rig = Rig::new(settings(), &zones(1, 4));
+    rig.warm_up(100);
+    let (mut failed, mut kept) = (0, 0);
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..600 {
+        if rng.u8(..3) > 0 {
+            kept += u32::from(rig.serve(SAFE, 20 * MS) == Some(1));
+        } else {
+            let error = |server| if server == 1 { Outcome::Error } else { Outcome::Ok };
+            failed += u32::from(rig.run(UNSAFE, error).0.contains(&1));
+        }
+    }
+    assert!(failed <= 20, "{failed} of some 200 calls failed");
+    assert!(kept >= 50, "{kept} of some 400 calls of the other class went to it");
+}
+
 /// A small server took turns by its listed size, though it served far less, and timed out a third of them.
 #[test]
 fn slow_server_gives_up_turns() {
