Keep a server that is out by hand out of every pool, and ramp it as cold once back

Two events tell it, by server id, listed or not. A server that is out is not ready: all picks, the fallback, repeats and the servers that are asked first come from the pools. Put back, its start counts from then, since discovery may tell late of a restart or not at all (boot_ms 0); its breaker and refusals are forgotten as those of a new process are. `avoided` counts listed servers that are out, drained or tripped. Ruled out: a filter in the driver. The module would have picked what cannot be sent and spent attempts on it. Tests: three in tests/mechanism.rs, which do not compile without the events; with `ready` left as listed the first two fail.

--- a/src/api.rs
+++ b/src/api.rs
@@ -288,6 +288,10 @@
     ClientGone(RequestId),
     /// A probe of a server ended, with the server's own figures if any came along.
     Probed(ServerId, Outcome, Option<LoadReport>),
+    /// An operator has taken a server out, listed or not; it stays out until put back.
+    Offline(ServerId),
+    /// An operator has put a server back.
+    Online(ServerId),
     /// A timer that this balancer set.
     Timer(u64),
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -116,6 +116,8 @@
     actions: Vec<Action>,
     servers: Vec<Server>,
     index: HashMap<ServerId, usize>,
+    /// Servers that operators have taken out, listed or not.
+    offline: HashSet<ServerId>,
     /// Places among the servers that nobody has.
     free: Vec<usize>,
     /// One for each zone; the last has all servers.
@@ -154,6 +156,7 @@
             actions: Vec::new(),
             servers: Vec::new(),
             index: HashMap::new(),
+            offline: HashSet::new(),
             free: Vec::new(),
             pools: (0..=settings.zones).map(|_| Pool::default()).collect(),
             largest: 1.0,
@@ -193,6 +196,8 @@
             Event::Ended(id, end) => self.on_ended(id, end),
             Event::ClientGone(id) => self.on_client_gone(id),
             Event::Probed(server, outcome, load) => self.on_probed(server, outcome, load),
+            Event::Offline(server) => self.on_offline(server),
+            Event::Online(server) => self.on_online(server),
             Event::Timer(WATCH_TOKEN) => self.actions.push(Action::Watch),
             Event::Timer(token) if token & ASK_TOKEN != 0 => self.on_asked(RequestId(token as u32)),
             Event::Timer(token) => self.on_late(token),
@@ -213,7 +218,7 @@
     fn on_list(&mut self, entries: &[ListEntry], whole: bool) {
         if whole {
             self.index.values().for_each(|&at| self.servers[at].gone = true);
-            self.servers.iter_mut().for_each(|server| server.ready = false);
+            self.servers.iter_mut().for_each(|server| (server.listed_ready, server.ready) = (false, false));
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         self.forget_gone();
@@ -235,18 +240,51 @@
         server.gone = gone;
         server.zone = usize::from(entry.zone.0).min(self.settings.zones);
         server.cell = entry.cell;
-        server.ready = entry.lifecycle == Lifecycle::Ready;
+        server.listed_ready = entry.lifecycle == Lifecycle::Ready;
+        server.ready = server.listed_ready && !self.offline.contains(&entry.server);
         let size = f64::from(entry.size);
         server.size = if size.is_finite() && size > 0.0 { size } else { 1.0 };
         if entry.started.is_some() && entry.started != server.started {
-            // A new process: its predecessor's failures say nothing of it. The random start of its budget
-            // keeps all siblings from sending it their first call at once.
-            server.breaker = Breaker::default();
-            server.refusals.fill(Refusals::default());
-            (server.budget, server.budget_at, server.slowness) = (self.rng.f64(), self.now, 1.0);
-            (server.open, server.conn_limit) = (server.in_flight, None); // nor do its connections
+            self.renew(at);
         }
-        server.started = entry.started;
+        self.servers[at].started = entry.started;
+    }
+
+    /// A new process: its predecessor's failures say nothing of it. The random start of its budget keeps all
+    /// siblings from sending it their first call at once.
+    fn renew(&mut self, at: usize) {
+        let server = &mut self.servers[at];
+        server.breaker = Breaker::default();
+        server.refusals.fill(Refusals::default());
+        (server.budget, server.budget_at, server.slowness) = (self.rng.f64(), self.now, 1.0);
+        (server.open, server.conn_limit) = (server.in_flight, None); // nor do its connections
+    }
+
+    /// Taken out by hand, it is in no pool: nothing is picked, repeated or probed there, whatever is listed.
+    fn on_offline(&mut self, id: ServerId) {
+        self.offline.insert(id);
+        if let Some(&at) = self.index.get(&id) {
+            self.servers[at].ready = false;
+            self.close_idle(at);
+            self.rebuild_pools();
+        }
+    }
+
+    /// Put back, it counts as just started: it was restarted meanwhile, and discovery may tell so late.
+    fn on_online(&mut self, id: ServerId) {
+        let was_out = self.offline.remove(&id);
+        if let Some(&at) = self.index.get(&id).filter(|_| was_out) {
+            self.renew(at);
+            let server = &mut self.servers[at];
+            (server.ready, server.returned) = (server.listed_ready, Some(self.now));
+            self.rebuild_pools();
+        }
+    }
+
+    /// How many listed servers are passed over now: by hand, as drained, or for a breaker that is open.
+    pub fn avoided(&self) -> usize {
+        let listed = self.index.values().map(|&at| &self.servers[at]).filter(|server| !server.gone);
+        listed.filter(|server| !server.ready || server.breaker.tripped).count()
     }
 
     fn add(&mut self, id: ServerId) -> usize {
@@ -619,7 +657,8 @@
 
     /// Part of its capacity that a server surely has by now: it may warm up faster, but never slower.
     fn warmth(&self, at: usize) -> f64 {
-        let Some(started) = self.servers[at].started else { return 1.0 };
+        let server = &self.servers[at];
+        let Some(started) = server.started.max(server.returned) else { return 1.0 };
         let age = self.now.saturating_sub(started) as f64 / self.settings.ramp_time.max(1) as f64;
         (self.settings.start_capacity + (1.0 - self.settings.start_capacity) * age).min(1.0)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,11 +9,15 @@
     pub id: ServerId,
     pub zone: usize,
     pub cell: u16,
+    /// Listed as taking work, and whether it gets any: it may be out by hand.
+    pub listed_ready: bool,
     pub ready: bool,
     /// It is on no list any more, and is forgotten once nothing refers to it.
     pub gone: bool,
     pub size: f64,
     pub started: Option<Time>,
+    /// When it was put back by hand last.
+    pub returned: Option<Time>,
     /// Place in the round robin.
     pub order: u64,
     /// Fraction of a turn that has come together.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -324,3 +324,53 @@
     let served = (0..200).filter_map(|_| rig.serve(SAFE, 20 * MS)).count();
     assert!(served > 40, "{served} of 200 calls in 4 s, at a quarter of the capacity and more");
 }
+
+/// Guards an upstream under repair: no path of the module leads to it, and the list does not put it back.
+#[test]
+fn a_server_out_by_hand_is_sent_nothing_on_any_path() {
+    let list = zones(1, 2);
+    let mut rig = Rig::new(settings(), &list);
+    rig.tell(Event::Offline(ServerId(0)));
+    assert_eq!(rig.balancer.avoided(), 1);
+    for _ in 0..20 {
+        // Each is repeated as often as may be.
+        let (tried, _) = rig.run(SAFE, |_| Outcome::Full);
+        assert!(tried.iter().all(|server| *server == 1), "{tried:?}");
+        rig.now += SECOND;
+        rig.tell(Event::List(&list));
+        rig.tell(Event::ListChange(&list[..1]));
+    }
+    rig.tell(Event::Offline(ServerId(1)));
+    let (_, actions) = rig.demand(SAFE);
+    assert!(sent(&actions).is_none() && refused(&actions));
+}
+
+#[test]
+fn a_server_out_by_hand_is_out_when_it_is_listed_again() {
+    let list = zones(1, 2);
+    let mut rig = Rig::new(settings(), &list[1..]);
+    rig.tell(Event::Offline(ServerId(0)));
+    rig.tell(Event::List(&list));
+    rig.warm_up(20);
+    assert!((0..20).all(|_| rig.serve(SAFE, 20 * MS) == Some(1)));
+    rig.tell(Event::List(&list[1..]));
+    rig.tell(Event::List(&list));
+    assert!((0..20).all(|_| rig.serve(SAFE, 20 * MS) == Some(1)));
+}
+
+/// Guards a server that comes back cold though the list tells nothing of a restart.
+#[test]
+fn a_server_put_back_is_ramped_as_cold() {
+    let list = zones(1, 2);
+    let mut rig = Rig::new(settings(), &list);
+    rig.warm_up(200);
+    let share = |rig: &mut Rig| (0..200).filter(|_| rig.serve(SAFE, 20 * MS) == Some(0)).count();
+    let before = share(&mut rig);
+    rig.tell(Event::Offline(ServerId(0)));
+    rig.tell(Event::Online(ServerId(0)));
+    let cold = share(&mut rig);
+    assert!(cold > 0 && cold < before / 2, "{before} of 200 calls before, {cold} right after");
+    rig.now += 10 * SECOND;
+    rig.tell(Event::Online(ServerId(0)));
+    assert!(share(&mut rig) > before / 2, "once more is nothing new");
+}
