Open a door for operators, count for it, and inherit the callers' listening socket

Cause: net/mod.rs bound `listen` whatever the platform holds, so that a second process found it taken; nothing served a second address, counted, or took orders. Ruled out for the exit: the limits, as its one line of log names `listen`, address in use. With an inherited listener SIGTERM stops taking connections at once, and each answer then ends its connection; idle ones stay until answers might come too late. `unsafe` is allowed for taking over the descriptor, and only there.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,6 @@
 //! The balancer on real sockets: reads the configuration, starts the parts, ends on a signal.
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod net;
 
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,164 @@
+//! The operators' door: a second address, on a thread and a runtime of its own, so that no load of callers can
+//! keep an operator waiting. It decides nothing and holds nothing: it reads figures and asks the driver.
+
+use super::counters::Counters;
+use super::driver::Input;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{oneshot, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+/// Connections held at a time.
+const MOST_CONNECTIONS: usize = 16;
+/// Descriptors that the door needs: its connections, one more that is just taken, its listener and its runtime.
+pub const DESCRIPTORS: usize = MOST_CONNECTIONS + 6;
+/// How long the head of a call may take.
+const HEAD_PATIENCE: Duration = Duration::from_millis(2500);
+/// How long the driver may take over an order: an answer is owed within a second.
+const ORDER_PATIENCE: Duration = Duration::from_millis(800);
+/// Wait after a connection could not be taken: the next try would fail alike.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the door shows, and whom it asks.
+pub struct Door {
+    pub counters: Arc<Counters>,
+    pub ready: watch::Receiver<bool>,
+    pub driver: UnboundedSender<Input>,
+}
+
+/// What the driver makes of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is in force.
+    Done,
+    /// No upstream of that name was ever listed.
+    Unknown,
+    /// It could not be kept for the process that comes after this one.
+    NotKept,
+}
+
+type Reply = Response<Full<Bytes>>;
+
+/// Listens, and serves for as long as the process runs.
+pub fn open(address: SocketAddr, door: Door) -> Result<(), String> {
+    let failed = |error| format!("`admin_addr` {address}: {error}");
+    let listener = std::net::TcpListener::bind(address).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed)?;
+    let serving = move || {
+        runtime.block_on(async {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => serve(listener, Arc::new(door)).await,
+                Err(error) => super::log(format_args!("the operators' door stays shut: {error}")),
+            }
+        });
+    };
+    std::thread::Builder::new().name("admin".into()).spawn(serving).map_err(failed)?;
+    super::log(format_args!("operators are served on {address}"));
+    Ok(())
+}
+
+/// A connection, and whether its call has come.
+struct Held {
+    task: AbortHandle,
+    asked: Arc<AtomicBool>,
+}
+
+async fn serve(listener: TcpListener, door: Arc<Door>) {
+    let mut held: VecDeque<Held> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _)) => {
+                held.retain(|held| !held.task.is_finished());
+                if held.len() >= MOST_CONNECTIONS {
+                    // The one that has kept its call to itself for longest makes room for a caller.
+                    let silent = held.iter().position(|held| !held.asked.load(Ordering::Relaxed));
+                    held.remove(silent.unwrap_or(0)).inspect(|held| held.task.abort());
+                }
+                let asked = Arc::new(AtomicBool::new(false));
+                let task = tokio::spawn(connection(tcp, door.clone(), asked.clone())).abort_handle();
+                held.push_back(Held { task, asked });
+            }
+            Err(error) => {
+                super::log(format_args!("cannot take an operator's connection: {error}"));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(tcp: TcpStream, door: Arc<Door>, asked: Arc<AtomicBool>) {
+    let service = service_fn(async |request: Request<Incoming>| {
+        asked.store(true, Ordering::Relaxed);
+        Ok::<_, Infallible>(reply(request.method(), request.uri().path(), &door).await)
+    });
+    let served = http1::Builder::new()
+        .keep_alive(false)
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_PATIENCE)
+        .serve_connection(TokioIo::new(tcp), service);
+    served.await.ok(); // a caller that leaves or never asks needs nothing
+}
+
+async fn reply(method: &Method, path: &str, door: &Door) -> Reply {
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    let (allowed, known) = match parts[..] {
+        ["control", "ready" | "counters"] => (Method::GET, true),
+        ["control", "upstreams", id, "offline" | "online"] => (Method::POST, !id.is_empty()),
+        _ => (Method::GET, false),
+    };
+    if !known {
+        return text(StatusCode::NOT_FOUND, "no such path\n");
+    }
+    if *method != allowed {
+        let mut reply = text(StatusCode::METHOD_NOT_ALLOWED, "not the method of this path\n");
+        let allowed = HeaderValue::from_str(allowed.as_str());
+        allowed.into_iter().for_each(|allowed| drop(reply.headers_mut().insert(ALLOW, allowed)));
+        return reply;
+    }
+    match parts[..] {
+        ["control", "ready"] => match *door.ready.borrow() {
+            true => text(StatusCode::OK, "ready\n"),
+            false => text(StatusCode::SERVICE_UNAVAILABLE, "no upstream is listed yet\n"),
+        },
+        ["control", "upstreams", id, order] => order_about(id, order == "offline", door).await,
+        _ => {
+            let mut reply = Response::new(Full::from(door.counters.report().to_string()));
+            reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            reply
+        }
+    }
+}
+
+async fn order_about(id: &str, offline: bool, door: &Door) -> Reply {
+    let (answer, answered) = oneshot::channel();
+    door.driver.send(Input::Ordered { uid: id.to_owned(), offline, answer }).ok();
+    match timeout(ORDER_PATIENCE, answered).await {
+        Ok(Ok(Verdict::Done)) => text(StatusCode::OK, if offline { "offline\n" } else { "online\n" }),
+        Ok(Ok(Verdict::Unknown)) => text(StatusCode::NOT_FOUND, "no such upstream was ever listed\n"),
+        Ok(Ok(Verdict::NotKept)) => text(StatusCode::INTERNAL_SERVER_ERROR, "could not be kept\n"),
+        Ok(Err(_)) | Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "not in force yet\n"),
+    }
+}
+
+fn text(status: StatusCode, text: &'static str) -> Reply {
+    let mut reply = Response::new(Full::from(text));
+    *reply.status_mut() = status;
+    reply
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,6 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::time::Duration;
 use woadstall::api::Settings;
 use woadstall::wire;
@@ -20,6 +21,10 @@
 /// The whole configuration, checked.
 pub struct Config {
     pub listen: SocketAddr,
+    /// The descriptor of a listening socket that the platform holds, to be used instead of binding `listen`.
+    pub listen_fd: Option<RawFd>,
+    /// Where operators call, if they do.
+    pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub limits: Limits,
@@ -53,6 +58,7 @@
 struct Raw {
     listen: Option<String>,
     discovery: Option<String>,
+    admin_addr: Option<String>,
     seed: String,
     limits: RawLimits,
     #[serde(default)]
@@ -113,6 +119,7 @@
         let names: RawNames = json("settings", &settings)?;
         let settings = wire::settings(settings.as_bytes()).map_err(|error| error.to_string())?;
         settings.check().map_err(|error| format!("settings: {error}"))?;
+        let admin = variable("LB_ADMIN_ADDR").or(raw.admin_addr).filter(|admin| !admin.is_empty());
         let sockets = raw.limits.sockets;
         if sockets < LEAST_SOCKETS {
             return Err(format!("`limits.sockets` is {sockets}, fewer than {LEAST_SOCKETS}"));
@@ -122,10 +129,13 @@
             return Err(format!("`limits.memory_mb` is {memory}, less than {LEAST_MEMORY}"));
         }
         // Every caller that waits has an attempt out.
-        let share = (sockets - RESERVED) / 2;
+        let reserved = RESERVED + admin.as_ref().map_or(0, |_| super::admin::DESCRIPTORS);
+        let share = (sockets - reserved) / 2;
         Ok(Self {
             listen: address("listen", listen.or(raw.listen))?,
+            listen_fd: variable("LB_LISTEN_FD").map(|fd| descriptor(&fd)).transpose()?,
             discovery: address("discovery", discovery.or(raw.discovery))?,
+            admin: admin.map(|admin| address("admin_addr", Some(admin))).transpose()?,
             seed: u64::from_str_radix(&raw.seed, 16)
                 .map_err(|_| format!("`seed` is not a hexadecimal number: {:?}", raw.seed))?,
             limits: Limits { callers: share, upstreams: share, memory: memory.saturating_mul(1 << 20) },
@@ -158,6 +168,11 @@
     Ok(value)
 }
 
+fn descriptor(text: &str) -> Result<RawFd, String> {
+    let fd = text.parse().ok().filter(|fd| *fd >= 0);
+    fd.ok_or_else(|| format!("`LB_LISTEN_FD` is not the number of a descriptor: {text:?}"))
+}
+
 fn address(field: &str, text: Option<String>) -> Result<SocketAddr, String> {
     let text = text.ok_or_else(|| format!("`{field}` is missing"))?;
     text.parse().map_err(|_| format!("`{field}` is not an address with a port: {text:?}"))
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,11 +1,14 @@
 //! Owns the decision module: tells it what happened and does what it says. Nothing is decided here.
 
+use super::admin::Verdict;
 use super::config::Config;
+use super::counters::{self, Counters};
 use super::discovery::{Listing, State, Target};
+use super::handover::{Bans, Shared};
 use super::upstream::{Finished, Idle, exchange};
 use bytes::Bytes;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, Response, Uri, Version};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -23,6 +26,10 @@
 const NET_AFTER: Time = 25_000_000;
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Time = 500_000_000;
+/// How often operators' figures and orders given to another process are looked at.
+const FOLLOW_EVERY: Time = 100_000_000;
+/// Upstreams that are on no list any more whose names are kept: an order about them is no mistake.
+const MOST_FORMER: usize = 1024;
 /// How long a probe may take.
 const PROBE_PATIENCE: Duration = Duration::from_millis(250);
 /// Inputs taken in a row before timers get their turn.
@@ -44,6 +51,8 @@
     Listed(Listing),
     /// A watch on discovery failed.
     ListFailed,
+    /// An operator takes an upstream out, or puts it back.
+    Ordered { uid: String, offline: bool, answer: oneshot::Sender<Verdict> },
 }
 
 /// A caller's request.
@@ -69,9 +78,21 @@
     Failed,
 }
 
+impl Answer {
+    /// How the request ends with it.
+    fn end(&self) -> counters::End {
+        match self {
+            Self::Served(response) if response.status() == StatusCode::OK => counters::End::Success,
+            Self::Refused(_) => counters::End::Busy,
+            Self::Served(_) | Self::Failed => counters::End::Failure,
+        }
+    }
+}
+
 /// A request that is not answered yet, or has attempts out.
 struct Open {
     request: Request<Bytes>,
+    class: usize,
     deadline: Time,
     /// Where the answer goes; `None` once it is given or not owed any more.
     answer: Option<oneshot::Sender<Answer>>,
@@ -94,6 +115,7 @@
 enum Timer {
     Module(u64),
     Sweep,
+    Follow,
 }
 
 /// An event that waits for the module to be done with the one before.
@@ -107,6 +129,14 @@
     inputs: UnboundedSender<Input>,
     subscribe: UnboundedSender<()>,
     ready: watch::Sender<bool>,
+    counters: Arc<Counters>,
+    /// What is shared with the process before or after this one, and the upstreams taken out by hand.
+    shared: Shared,
+    bans: Bans,
+    /// Another process of this balancer serves beside this one.
+    overlapping: bool,
+    /// The names of upstreams that were listed, the latest last.
+    former: VecDeque<String>,
     requests: HashMap<RequestId, Open>,
     /// The upstreams that are listed, and the number of the next new one: none is given out twice.
     ids: HashMap<String, ServerId>,
@@ -161,6 +191,8 @@
         inputs: UnboundedSender<Input>,
         subscribe: UnboundedSender<()>,
         ready: watch::Sender<bool>,
+        counters: Arc<Counters>,
+        shared: Shared,
     ) -> Result<Self, String> {
         let clock = Clock::new();
         let balancer = Balancer::new(config.settings.clone(), config.seed, clock.now())
@@ -172,6 +204,11 @@
             inputs,
             subscribe,
             ready,
+            counters,
+            shared,
+            bans: Bans::new(),
+            overlapping: false,
+            former: VecDeque::new(),
             requests: HashMap::new(),
             ids: HashMap::new(),
             next_server: 0,
@@ -183,9 +220,13 @@
             pending: VecDeque::new(),
             config,
         };
+        driver.follow(); // before anything can be sent
         let known = Listing { all: true, ..driver.config.known.clone() };
         driver.on_listed(known);
         driver.set_timer(SWEEP_EVERY, Timer::Sweep);
+        if driver.config.admin.is_some() {
+            driver.set_timer(FOLLOW_EVERY, Timer::Follow);
+        }
         Ok(driver)
     }
 
@@ -217,6 +258,9 @@
             Input::DescriptorsShort => self.idle.close_all(),
             Input::Listed(listing) => self.on_listed(listing),
             Input::ListFailed => self.tell(Event::ListFailed),
+            Input::Ordered { uid, offline, answer } => {
+                answer.send(self.on_ordered(&uid, offline)).ok(); // one that left has its order all the same
+            }
         }
     }
 
@@ -236,6 +280,10 @@
                     self.idle.sweep();
                     self.set_timer(SWEEP_EVERY, Timer::Sweep);
                 }
+                Timer::Follow => {
+                    self.follow();
+                    self.set_timer(FOLLOW_EVERY, Timer::Follow);
+                }
             }
         }
         while let Some(&(_, id)) = self.nets.first().filter(|(at, _)| *at <= now) {
@@ -250,6 +298,58 @@
         self.tell(Event::ClientGone(id));
     }
 
+    // ---- Operators ----
+
+    /// Takes over what operators told another process, and shows them how many upstreams are avoided.
+    fn follow(&mut self) {
+        if let Some(bans) = self.shared.changed() {
+            self.enforce(bans);
+        }
+        let overlapping = self.shared.overlaps();
+        if overlapping != self.overlapping {
+            // The descriptors are for both.
+            let most = self.config.limits.upstreams;
+            self.idle.limit(if overlapping { most / 2 } else { most });
+            let beside = if overlapping { "beside another process" } else { "alone" };
+            super::log(format_args!("this process serves {beside}"));
+            self.overlapping = overlapping;
+        }
+        self.show_hosts();
+    }
+
+    fn show_hosts(&self) {
+        self.counters.set_hosts(self.servers.len(), self.balancer.avoided());
+    }
+
+    fn on_ordered(&mut self, uid: &str, offline: bool) -> Verdict {
+        let listed = self.ids.contains_key(uid) || self.former.iter().any(|former| former == uid);
+        if !listed && !self.bans.contains(uid) {
+            return Verdict::Unknown;
+        }
+        match self.shared.change(uid, offline, &self.bans) {
+            Ok(bans) => self.enforce(bans),
+            Err(error) => {
+                super::log(format_args!("an order about upstream {uid} cannot be kept: {error}"));
+                return Verdict::NotKept;
+            }
+        }
+        self.follow();
+        super::log(format_args!("upstream {uid} is {} by hand", if offline { "out" } else { "back" }));
+        Verdict::Done
+    }
+
+    fn enforce(&mut self, bans: Bans) {
+        let former = std::mem::replace(&mut self.bans, bans.clone());
+        for uid in bans.difference(&former) {
+            let server = self.id(uid);
+            self.tell(Event::Offline(server));
+        }
+        for uid in former.difference(&bans) {
+            let server = self.id(uid);
+            self.tell(Event::Online(server));
+        }
+    }
+
     // ---- Discovery ----
 
     fn on_listed(&mut self, listing: Listing) {
@@ -263,6 +363,7 @@
         if entries.iter().any(|entry| entry.lifecycle == Lifecycle::Ready) {
             self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
+        self.show_hosts();
     }
 
     /// Forgets the upstreams that are gone, by name or by not being on a whole list, and closes their idle
@@ -273,22 +374,28 @@
             targets.map(|target| target.uid.as_str()).collect::<HashSet<_>>()
         };
         let (named, gone) = (names(false), names(true));
-        let (servers, idle) = (&mut self.servers, &mut self.idle);
+        let (servers, idle, former) = (&mut self.servers, &mut self.idle, &mut self.former);
+        let bans = &self.bans;
         self.ids.retain(|uid, server| {
             let stays = !gone.contains(uid.as_str()) && (!listing.all || named.contains(uid.as_str()));
-            if !stays {
-                servers.remove(server);
+            if !stays && servers.remove(server).is_some() {
                 idle.close(*server);
+                former.push_back(uid.clone());
             }
-            stays
+            stays || bans.contains(uid) // what is out by hand is so when it is listed again
         });
+        former.drain(..former.len().saturating_sub(MOST_FORMER));
     }
 
-    fn entry(&mut self, target: &Target) -> ListEntry {
-        let server = *self.ids.entry(target.uid.clone()).or_insert_with(|| {
+    fn id(&mut self, uid: &str) -> ServerId {
+        *self.ids.entry(uid.to_owned()).or_insert_with(|| {
             self.next_server += 1;
             ServerId(self.next_server)
-        });
+        })
+    }
+
+    fn entry(&mut self, target: &Target) -> ListEntry {
+        let server = self.id(&target.uid);
         let address: Option<SocketAddr> = target.endpoint.parse().ok();
         if address.is_none() {
             super::log(format_args!("upstream {}: no address in {:?}", target.uid, target.endpoint));
@@ -323,7 +430,14 @@
         let demand = Demand { class: call.class, tenant: call.tenant, time_left, work: call.work };
         self.requests.insert(
             id,
-            Open { request: call.request, deadline, answer: Some(call.answer), attempts: 0, out: Vec::new() },
+            Open {
+                request: call.request,
+                class: call.class,
+                deadline,
+                answer: Some(call.answer),
+                attempts: 0,
+                out: Vec::new(),
+            },
         );
         self.nets.insert((deadline.saturating_add(NET_AFTER), id));
         self.tell(Event::Request(id, demand));
@@ -343,7 +457,11 @@
             && let Some(sender) = open.answer.take()
         {
             self.nets.remove(&(open.deadline.saturating_add(NET_AFTER), id));
-            sender.send(answer).ok(); // a caller that has just gone needs none
+            let end = answer.end();
+            // A caller that has just gone needs none.
+            if sender.send(answer).is_ok() {
+                self.counters.count(open.class, end);
+            }
         }
         self.forget_if_done(id);
     }
@@ -373,7 +491,9 @@
         let (cancel, cancelled) = oneshot::channel::<()>();
         open.out.push(Out { number, server, upstream, sent: now, cancel: Some(cancel) });
         let (inputs, until) = (self.inputs.clone(), self.clock.instant(until));
-        let exchange = exchange(request, idle, address, self.config.names.connect_timeout, self.idle.open());
+        let tally = Some(self.counters.attempts());
+        let connect_timeout = self.config.names.connect_timeout;
+        let exchange = exchange(request, idle, address, connect_timeout, self.idle.open(), tally);
         tokio::spawn(async move {
             let finished = tokio::select! {
                 biased;
@@ -426,8 +546,8 @@
         *request.uri_mut() = Uri::from_static("/load");
         let request = forwarded(&request, address, PROBE_PATIENCE.as_nanos() as Time);
         let connect_timeout = self.config.names.connect_timeout;
-        let (inputs, exchange) =
-            (self.inputs.clone(), exchange(request, idle, address, connect_timeout, self.idle.open()));
+        let exchange = exchange(request, idle, address, connect_timeout, self.idle.open(), None);
+        let inputs = self.inputs.clone();
         tokio::spawn(async move {
             let finished = timeout(PROBE_PATIENCE, exchange).await.unwrap_or(Outcome::Timeout.into());
             inputs.send(Input::Probed(server, finished)).ok();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,12 @@
 //! The balancer's sockets. Nothing here decides: the driver asks the decision module.
 
+mod admin;
 pub mod config;
+mod counters;
 mod discovery;
 mod driver;
 mod gate;
+mod handover;
 mod server;
 mod upstream;
 
@@ -11,6 +14,9 @@
 use std::fmt;
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::os::fd::{FromRawFd, RawFd};
+use std::os::unix::fs::FileTypeExt;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -48,16 +54,31 @@
     }
 }
 
+/// The listening socket that the platform holds for every process of this balancer.
+#[allow(unsafe_code)]
+fn inherited(fd: RawFd) -> io::Result<TcpListener> {
+    // A closed or foreign descriptor must not be taken over: something of ours may get its number.
+    if !std::fs::metadata(format!("/proc/self/fd/{fd}"))?.file_type().is_socket() {
+        return Err(io::Error::other("not a socket"));
+    }
+    // SAFETY: it is open, and the platform handed it over for this use alone; it is taken once, at the start.
+    let listener = unsafe { std::net::TcpListener::from_raw_fd(fd) };
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 /// Serves until a signal to stop, and then until all that was taken is answered.
 pub async fn run(config: Config) -> Result<(), String> {
     let failed = |what: &str, error: io::Error| format!("{what}: {error}");
     let mut term = signal(SignalKind::terminate()).map_err(|e| failed("SIGTERM", e))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| failed("SIGINT", e))?;
     let mut hup = signal(SignalKind::hangup()).map_err(|e| failed("SIGHUP", e))?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|error| failed(&format!("`listen` {}", config.listen), error))?;
-
+    let listener = match config.listen_fd {
+        Some(fd) => inherited(fd).map_err(|error| failed(&format!("`LB_LISTEN_FD` {fd}"), error))?,
+        None => TcpListener::bind(config.listen)
+            .await
+            .map_err(|error| failed(&format!("`listen` {}", config.listen), error))?,
+    };
     let address = listener.local_addr().map_err(|error| failed("`listen`", error))?;
     log(format_args!("listening on {address}"));
 
@@ -68,10 +89,18 @@
     let (stop, stopping) = watch::channel(false);
     let (discovery, discovery_at) = watch::channel(config.discovery);
 
-    let driver = driver::Driver::new(config.clone(), events.clone(), subscribe, ready)?;
+    let counters = Arc::new(counters::Counters::new(&config.names.classes));
+    let folder = std::env::var_os("TMPDIR").filter(|_| config.admin.is_some()).map(PathBuf::from);
+    let shared = handover::Shared::new(folder, &format!("{}-{:x}", std::process::id(), config.seed));
+    let driver =
+        driver::Driver::new(config.clone(), events.clone(), subscribe, ready, counters.clone(), shared)?;
+    if let Some(address) = config.admin {
+        let (counters, ready, driver) = (counters.clone(), is_ready.clone(), events.clone());
+        admin::open(address, admin::Door { counters, ready, driver })?;
+    }
     tokio::spawn(driver.run(inbox));
     tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed, discovery_at));
-    let server = server::Server::new(config, events, is_ready);
+    let server = server::Server::new(config, events, is_ready, counters);
     let serving = tokio::spawn(server.run(listener, stopping));
 
     loop {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! The callers' side: takes connections, reads and checks requests, writes answers.
 
 use super::config::Config;
+use super::counters::{Counters, End};
 use super::driver::{Answer, Call, Input};
 use super::gate::{Gate, MOST_HEAD, Seen, lock};
 use super::upstream::{MOST_BODY, is_local};
@@ -61,6 +62,7 @@
     config: Arc<Config>,
     driver: UnboundedSender<Input>,
     ready: watch::Receiver<bool>,
+    counters: Arc<Counters>,
     next_id: AtomicU32,
     next_caller: AtomicU64,
     callers: Mutex<HashMap<u64, Arc<Caller>>>,
@@ -70,6 +72,8 @@
     bodies: AtomicUsize,
     /// A caller's connection has ended.
     left: Notify,
+    /// Another process takes the new connections: each answer is the last on its own.
+    handed_over: AtomicBool,
 }
 
 /// A caller's connection.
@@ -101,13 +105,13 @@
 
 impl Place {
     async fn serve(self, gate: Gate, mut closing: watch::Receiver<bool>) {
-        let service = service_fn(|request| async {
+        let service = service_fn(async |request: Request<Incoming>| {
             let mut reply = match self.caller.surplus {
-                true => refusal(COME_BACK),
+                true => self.server.refuse_surplus(&request),
                 false => self.server.reply(request, &self.caller.seen).await,
             };
             let mut seen = lock(&self.caller.seen);
-            if seen.is_last() || seen.both_lengths() {
+            if seen.is_last() || seen.both_lengths() || self.server.handed_over.load(Ordering::Relaxed) {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             seen.answered();
@@ -146,17 +150,24 @@
 
 impl Server {
     /// A server that hands its requests to the driver.
-    pub fn new(config: Arc<Config>, driver: UnboundedSender<Input>, ready: watch::Receiver<bool>) -> Self {
+    pub fn new(
+        config: Arc<Config>,
+        driver: UnboundedSender<Input>,
+        ready: watch::Receiver<bool>,
+        counters: Arc<Counters>,
+    ) -> Self {
         Self {
             config,
             driver,
             ready,
+            counters,
             next_id: AtomicU32::new(0),
             next_caller: AtomicU64::new(0),
             callers: Mutex::default(),
             open: Mutex::default(),
             bodies: AtomicUsize::new(0),
             left: Notify::new(),
+            handed_over: AtomicBool::new(false),
         }
     }
 
@@ -165,33 +176,45 @@
         let server = Arc::new(self);
         let looking = tokio::spawn(server.clone().cut_overdue());
         let (close, closing) = watch::channel(false);
+        let shared = server.config.listen_fd.is_some();
         let stopped = async {
             stopping.wait_for(|stop| *stop).await.ok();
-            sleep(server.go_on()).await;
+            if !shared {
+                sleep(server.go_on()).await;
+            }
         };
         tokio::select! {
             () = server.accept(&listener, &closing) => {}
             () = stopped => {}
         }
-        // What waits in the backlog counts as taken, and closing the listener would reset it.
-        let rest = async {
-            while let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await {
-                server.take(tcp, &closing);
-            }
-        };
-        timeout(10 * LAST_LOOK, rest).await.ok();
-        drop(listener);
+        if shared {
+            // The next process takes what waits in the backlog. The callers we have may be writing just now:
+            // they are sent to it one by one, with their answers.
+            drop(listener);
+            server.handed_over.store(true, Ordering::Relaxed);
+            timeout(server.go_on(), server.all_left()).await.ok();
+        } else {
+            // What waits in the backlog counts as taken, and closing the listener would reset it.
+            let rest = async {
+                while let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await {
+                    server.take(tcp, &closing);
+                }
+            };
+            timeout(10 * LAST_LOOK, rest).await.ok();
+            drop(listener);
+        }
         close.send_replace(true);
         let longest = longest_deadline(&server.config.settings);
-        let all_left = async {
-            while server.count() > 0 {
-                server.left.notified().await;
-            }
-        };
-        timeout(Duration::from_nanos(longest) + LAST_ANSWERS, all_left).await.ok();
+        timeout(Duration::from_nanos(longest) + LAST_ANSWERS, server.all_left()).await.ok();
         looking.abort();
     }
 
+    async fn all_left(&self) {
+        while self.count() > 0 {
+            self.left.notified().await;
+        }
+    }
+
     /// How long callers are still served after a signal to stop.
     fn go_on(&self) -> Duration {
         let settings = &self.config.settings;
@@ -260,6 +283,19 @@
         tokio::spawn(Place { server: self.clone(), number, caller }.serve(gate, closing.clone()));
     }
 
+    fn refuse_surplus(&self, request: &Request<Incoming>) -> Reply {
+        if let Some(class) = self.class(request) {
+            self.counters.count(class, End::Busy);
+        }
+        refusal(COME_BACK)
+    }
+
+    /// The class that a request's path names.
+    fn class(&self, request: &Request<Incoming>) -> Option<usize> {
+        let in_path = request.uri().path().split('/').nth(1)?;
+        self.config.names.classes.iter().position(|class| class == in_path)
+    }
+
     async fn reply(&self, request: Request<Incoming>, seen: &Mutex<Seen>) -> Reply {
         if request.uri().path() == "/healthz" {
             return match *self.ready.borrow() {
@@ -292,9 +328,11 @@
         }
         let room = size.exact().map_or(MOST_BODY, |size| size as usize);
         let Some(_room) = Room::take(&self.bodies, room, self.config.limits.memory / BODIES) else {
+            self.counters.count(asked.class, End::Busy);
             return Ok(refusal(COME_BACK));
         };
         let Some(_named) = Named::take(&self.open, asked.call_id) else {
+            self.counters.count(asked.class, End::Failure);
             return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
         };
         let (mut head, body) = request.into_parts();
@@ -304,6 +342,7 @@
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
         let deadline = lock(seen).whole() + asked.budget;
+        let _taken = self.counters.taken();
         end_to_end(&mut head.headers);
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let mut owed = Owed(Some(id), &self.driver);
@@ -332,8 +371,7 @@
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let (headers, names) = (request.headers(), &self.config.names);
         let in_path = request.uri().path().split('/').nth(1).unwrap_or("");
-        let class = names.classes.iter().position(|class| class == in_path);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
+        let class = self.class(request).ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
         if text(headers, "x-call-class") != Some(in_path) {
             return Err(bad("X-Call-Class is missing or not that of the path\n"));
         }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams, and attempts on them: one attempt at a time on each.
 
+use super::gate::lock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, SizeHint};
@@ -13,8 +14,8 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -42,13 +43,15 @@
     }
 }
 
-/// Sends a request on a connection, or on a new one, and waits for its whole answer.
+/// Sends a request on a connection, or on a new one, and waits for its whole answer. One written whole counts in
+/// `tally`.
 pub async fn exchange(
     request: Request<Bytes>,
     idle: Option<Connection>,
     address: SocketAddr,
     connect_timeout: Duration,
     open: Arc<AtomicUsize>,
+    tally: Option<Arc<AtomicU64>>,
 ) -> Finished {
     let mut connection = match idle {
         Some(connection) => connection,
@@ -63,6 +66,7 @@
     let (head, body) = request.into_parts();
     progress.body_taken.store(body.is_empty(), Ordering::Relaxed);
     progress.written.store(false, Ordering::Relaxed);
+    *lock(&progress.tally) = tally;
     let body = Outgoing { data: Some(body).filter(|body| !body.is_empty()), progress: progress.clone() };
     let broken = || match progress.written.load(Ordering::Relaxed) {
         true => Outcome::Reset,
@@ -148,6 +152,17 @@
     body_taken: AtomicBool,
     /// Its last byte is written: the upstream may run it from here on.
     written: AtomicBool,
+    /// Counts it once that is so.
+    tally: Mutex<Option<Arc<AtomicU64>>>,
+}
+
+impl Progress {
+    fn is_written(&self) {
+        self.written.store(true, Ordering::Relaxed);
+        if let Some(tally) = lock(&self.tally).take() {
+            tally.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 /// The body of a request, which notes when it was taken.
@@ -227,7 +242,7 @@
         // All that hyper had is written, and it had all.
         let offered: usize = parts.iter().map(|part| part.len()).sum();
         if done == offered && self.progress.body_taken.load(Ordering::Relaxed) {
-            self.progress.written.store(true, Ordering::Relaxed);
+            self.progress.is_written();
         }
         Poll::Ready(Ok(done))
     }
@@ -260,6 +275,12 @@
         Self { keep, most, open: Arc::default(), idle: HashMap::new() }
     }
 
+    /// Changes how many may be open, and closes idle ones that are too many then.
+    pub fn limit(&mut self, most: usize) {
+        self.most = most;
+        while self.open.load(Ordering::Relaxed) > most && self.close_oldest() {}
+    }
+
     /// Counts all connections that are open.
     pub fn open(&self) -> Arc<AtomicUsize> {
         self.open.clone()
@@ -303,13 +324,17 @@
     pub fn make_room(&mut self) -> bool {
         let full = |idle: &Self| idle.open.load(Ordering::Relaxed) >= idle.most;
         if full(self) {
-            let oldest = self.idle.iter().filter_map(|(server, idle)| Some((idle.first()?.0, *server))).min();
-            if let Some((_, server)) = oldest {
-                self.idle.get_mut(&server).map(|idle| idle.remove(0));
-            }
+            self.close_oldest();
         }
         !full(self)
     }
+
+    /// Closes the connection that has been idle for longest, if there is one.
+    fn close_oldest(&mut self) -> bool {
+        let oldest = self.idle.iter().filter_map(|(server, idle)| Some((idle.first()?.0, *server))).min();
+        let idle = oldest.and_then(|(_, server)| self.idle.get_mut(&server));
+        idle.map(|idle| idle.remove(0)).is_some()
+    }
 }
 
 #[cfg(test)]
@@ -335,7 +360,7 @@
             stream
         });
         let request = Request::new(Bytes::new());
-        let finished = exchange(request, None, address, Duration::from_secs(30), Arc::default()).await;
+        let finished = exchange(request, None, address, Duration::from_secs(30), Arc::default(), None).await;
         (finished.connection.expect("a connection to use again"), peer.await.unwrap())
     }
 
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -364,7 +364,11 @@
 
 /// Runs the program with this text as its configuration until it ends by itself.
 pub fn run_to_end(config: &str) -> (ExitStatus, String) {
-    let (mut child, mut log, _) = spawn(config, &[]);
+    run_to_end_with(config, &[])
+}
+
+pub fn run_to_end_with(config: &str, environment: &[(&str, String)]) -> (ExitStatus, String) {
+    let (mut child, mut log, _) = spawn(config, environment);
     let mut text = String::new();
     log.read_to_string(&mut text).unwrap();
     (child.wait().unwrap(), text)
@@ -379,6 +383,8 @@
     let mut child = Command::new(env!("CARGO_BIN_EXE_woadstall"))
         .env_remove("LB_LISTEN")
         .env_remove("LB_DISCOVERY")
+        .env_remove("LB_ADMIN_ADDR")
+        .env_remove("LB_LISTEN_FD")
         .env("LB_CONFIG", &path)
         .envs(environment.iter().cloned())
         .stderr(Stdio::piped())
