Let connections without a call go first in a crowd, and begun requests last

Cause: `close_idle` in net/server.rs closed the oldest connection that had never asked, which is the slow one about to end its head; and a connection that had asked for /healthz alone passed for a caller's. Of 192 descriptors 78 were reserved. Traces of accept and recv on n1 show why: from 0.4 s after its SIGTERM, while n0 is not back, callers open nothing and go on with the connections they have; these had been closed for the crowd. Now those that asked for /healthz alone, or nothing for 0.3 s, go first, then resting ones, then begun heads; those without a call fill half of the places at most. Upstreams get a third of the descriptors, callers the rest, and 16 surplus callers are taken.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -24,7 +24,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Connections held at a time.
-const MOST_CONNECTIONS: usize = 16;
+const MOST_CONNECTIONS: usize = 12;
 /// Descriptors that the door needs: its connections, one more that is just taken, its listener and its runtime.
 pub const DESCRIPTORS: usize = MOST_CONNECTIONS + 6;
 /// How long the head of a call may take.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -11,8 +11,10 @@
 use woadstall::wire;
 
 /// Descriptors that are neither callers' nor upstreams': standard streams, listener, discovery, the runtime's,
-/// and callers taken only to be refused.
-const RESERVED: usize = 56;
+/// files that are open for a moment, and callers taken only to be refused.
+const RESERVED: usize = 16 + super::server::SURPLUS;
+/// Part of the descriptors that callers hold for requests at most, as one over this.
+const CALLING: usize = 3;
 /// Less memory than this, in MB, cannot serve anybody.
 const LEAST_MEMORY: usize = 8;
 /// Fewer descriptors than this cannot serve anybody.
@@ -128,9 +130,10 @@
         if memory < LEAST_MEMORY {
             return Err(format!("`limits.memory_mb` is {memory}, less than {LEAST_MEMORY}"));
         }
-        // Every caller that waits has an attempt out.
+        // Every caller that waits has an attempt out; callers that do not only hold a place.
         let reserved = RESERVED + admin.as_ref().map_or(0, |_| super::admin::DESCRIPTORS);
-        let share = (sockets - reserved) / 2;
+        let upstreams = (sockets / CALLING).min((sockets - reserved) / 2);
+        let callers = sockets - reserved - upstreams;
         Ok(Self {
             listen: address("listen", listen.or(raw.listen))?,
             listen_fd: variable("LB_LISTEN_FD").map(|fd| descriptor(&fd)).transpose()?,
@@ -138,7 +141,7 @@
             admin: admin.map(|admin| address("admin_addr", Some(admin))).transpose()?,
             seed: u64::from_str_radix(&raw.seed, 16)
                 .map_err(|_| format!("`seed` is not a hexadecimal number: {:?}", raw.seed))?,
-            limits: Limits { callers: share, upstreams: share, memory: memory.saturating_mul(1 << 20) },
+            limits: Limits { callers, upstreams, memory: memory.saturating_mul(1 << 20) },
             known: raw.known,
             settings,
             names: Names {
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -38,6 +38,19 @@
     Whole,
 }
 
+/// What a connection without an open request is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idle {
+    /// Nothing has ever come.
+    Silent,
+    /// It was answered, but has brought no call.
+    Strange,
+    /// Between calls.
+    Resting,
+    /// A part of a head has come.
+    Begun,
+}
+
 /// What is known of a caller's connection.
 pub struct Seen {
     phase: Phase,
@@ -53,7 +66,10 @@
     arrived: Instant,
     /// Since when it waits for a request, or for the rest of one that has begun.
     since: Instant,
+    /// A call has been answered on it.
     asked: bool,
+    /// Answers that it was given, to whatever.
+    answers: u32,
     answered: bool,
     /// Bytes that had come in all when the present head was whole.
     head_came: u64,
@@ -81,6 +97,7 @@
             arrived: now,
             since: now,
             asked: false,
+            answers: 0,
             answered: false,
             head_came: 0,
             waited: Duration::ZERO,
@@ -91,10 +108,16 @@
         }
     }
 
-    /// Since when nothing has come while no request is open, and whether there ever was one; `None` while there is.
-    pub fn idle(&self) -> Option<(bool, Instant)> {
+    /// What a connection without an open request is at, and since when nothing has come; `None` with one open.
+    pub fn idle(&self) -> Option<(Idle, Instant)> {
         let latest = self.reads.back().map_or(self.since, |(_, at)| self.since.max(*at));
-        (self.phase == Phase::Head).then_some((self.asked, latest))
+        let idle = match (self.ahead.is_empty(), self.asked) {
+            (true, false) if self.answers > 0 => Idle::Strange,
+            (true, false) => Idle::Silent,
+            (true, true) => Idle::Resting,
+            (false, _) => Idle::Begun,
+        };
+        (self.phase == Phase::Head).then_some((idle, latest))
     }
 
     /// Whether a whole request is owed for longer than this, or an answer is not taken. One that has asked may rest
@@ -131,15 +154,17 @@
         self.arrived
     }
 
-    /// The present request has its answer; the next may go to hyper.
-    pub fn answered(&mut self) {
+    /// The present request has its answer; the next may go to hyper. Only calls make a caller.
+    pub fn answered(&mut self, is_call: bool) {
         self.answered = true;
+        self.asked |= is_call;
+        self.answers = self.answers.saturating_add(1);
         self.next();
     }
 
     fn next(&mut self) {
         if self.phase == Phase::Whole && self.answered {
-            (self.phase, self.asked, self.since) = (Phase::Head, true, Instant::now());
+            (self.phase, self.since) = (Phase::Head, Instant::now());
             self.waiting.take().into_iter().for_each(Waker::wake);
         }
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,7 +4,7 @@
 use super::config::Config;
 use super::counters::{Counters, End, Taken};
 use super::driver::{Answer, Call, Input};
-use super::gate::{Gate, MOST_HEAD, Seen, lock};
+use super::gate::{Gate, Idle, MOST_HEAD, Seen, lock};
 use super::upstream::is_local;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -43,9 +43,13 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Wait after a connection could not be taken for lack of descriptors: the next try would fail alike.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// Part of the room that connections without a call may fill, as one over this.
+const UNCALLED: usize = 2;
+/// A new connection may bring its call a little later.
+const NEWLY: Duration = Duration::from_millis(300);
 /// Connections taken beyond those that are served, to refuse their requests: left in the kernel's backlog,
 /// they would count as taken and get no answer.
-const SURPLUS: usize = 32;
+pub const SURPLUS: usize = 16;
 /// How long a surplus caller is to stay away, and one whose body found no room.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// hyper's buffer for what a caller sends: beyond a head, it only makes bodies come in larger pieces.
@@ -102,6 +106,7 @@
 impl Place {
     async fn serve(self, gate: Gate, mut closing: watch::Receiver<bool>) {
         let service = service_fn(async |request: Request<Incoming>| {
+            let is_call = self.server.class(&request).is_some();
             let mut reply = match self.caller.surplus {
                 true => self.server.refuse_surplus(&request),
                 false => self.server.reply(request, &self.caller.seen).await,
@@ -111,7 +116,7 @@
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             if reply.body().is_whole() {
-                seen.answered();
+                seen.answered(is_call);
             }
             Ok::<_, Infallible>(reply)
         });
@@ -258,14 +263,26 @@
         lock(&self.callers).len()
     }
 
-    /// Has an idle connection closed: the oldest that has never asked, so that a silent crowd pushes out nobody
-    /// but itself, or else the one idle for longest. Its caller may be writing to it just now; it knows then
-    /// that its request was not taken.
+    /// Has an idle connection closed: one that has brought no call for a while goes before one that rests, and a
+    /// request that has begun goes last, as it would be lost; of each kind, the one idle for longest. Those without
+    /// a call have a part of the room, and where they fill it, one of them goes: a crowd pushes out nobody but
+    /// itself. One that is closed may be writing just now; its caller knows then that its request was not taken.
     fn close_idle(&self) -> bool {
         let callers = lock(&self.callers);
         let staying = callers.values().filter(|caller| !caller.leaving.load(Ordering::Relaxed));
-        let idle = staying.filter_map(|caller| Some((lock(&caller.seen).idle()?, caller)));
-        let Some((_, caller)) = idle.min_by_key(|(since, _)| *since) else { return false };
+        let idle: Vec<_> = staying.filter_map(|caller| Some((lock(&caller.seen).idle()?, caller))).collect();
+        let uncalled = idle.iter().filter(|((idle, _), _)| *idle != Idle::Resting).count();
+        let crowded = uncalled > self.config.limits.callers / UNCALLED;
+        let rank = |idle, since: Instant| match idle {
+            Idle::Strange => 0,
+            Idle::Silent if since.elapsed() > NEWLY => 0,
+            Idle::Resting if !crowded => 1,
+            Idle::Silent => 2,
+            Idle::Begun => 3,
+            Idle::Resting => 4,
+        };
+        let goes = idle.into_iter().min_by_key(|((idle, since), _)| (rank(*idle, *since), *since));
+        let Some((_, caller)) = goes else { return false };
         caller.leaving.store(true, Ordering::Relaxed);
         caller.close.notify_one();
         true
@@ -475,7 +492,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         if let Some(seen) = &self.seen {
-            lock(seen).answered();
+            lock(seen).answered(true);
         }
     }
 }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -304,3 +304,32 @@
     let answer = caller.answer().expect("an answer");
     assert_eq!((answer.status(), answer.body), (200, b"60000".to_vec()));
 }
+
+/// Guards a caller that is slow over its head against a crowd that connects, and never brings a call.
+#[test]
+fn a_slow_head_is_served_in_a_crowd() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let mut config = config(refusing(), &in_service(&[&upstream]));
+    config["limits"]["sockets"] = 128.into(); // room for 54 callers, half of it for those without a whole request
+    let program = Program::start(&config);
+    let mut resting: Vec<Caller> = (0..24).map(|_| program.connect()).collect();
+    for caller in &mut resting {
+        assert_eq!(caller.call("look", LONG, "").expect("served").status(), 200);
+    }
+    let mut slow = program.connect();
+    let text = request("look", LONG, "");
+    let mut output = slow.input.get_ref().try_clone().unwrap();
+    let mut crowd = Vec::new();
+    for piece in text.as_bytes().chunks(text.len().div_ceil(10)) {
+        output.write_all(piece).unwrap();
+        for at in 0..12 {
+            crowd.push(program.connect());
+            let text = ["", "GET /look HTTP/1.1\r\n", "GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"];
+            crowd.last_mut().unwrap().write(text[at % 3]);
+        }
+        std::thread::sleep(Duration::from_millis(50)); // as slow as it takes for the pieces to come apart
+    }
+    assert_eq!(slow.answer().expect("an answer").status(), 200);
+    let served = resting.iter_mut().filter_map(|caller| caller.call("look", LONG, "")).count();
+    assert_eq!(served, 24, "the crowd stays within its part of the room");
+}
