Give a long request up that nobody takes any further, and follow orders without a door too

Cause: the time of a request that is still coming runs from its last byte, so an upstream that stopped reading it held its caller for ever; `expiry` in net/driver.rs only waited for that byte. After 15 s without a step the attempt is given up. And a process with an inherited listener but no door neither told of itself nor followed orders: both go by `Config::shares` now. Ruled out: the cut for slow callers, which rightly spares a caller that nobody reads from. Test: an_upstream_that_stops_reading_..., seen hanging without the change.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -22,8 +22,8 @@
 pub const MOST_KEPT: usize = 64 << 10;
 /// Largest body either way.
 pub const MOST_BODY: u64 = 34 << 20;
-/// An answer that is passed on and brings nothing for so long has ended. Its peers may take seconds over a piece.
-const STALL: Duration = Duration::from_secs(15);
+/// What is passed on and gets no further for so long has ended. Peers may take seconds over a piece.
+pub const STALL: Duration = Duration::from_secs(15);
 
 /// The memory that bodies may fill, all together.
 pub struct Budget {
@@ -147,6 +147,11 @@
         }
     }
 
+    /// How much more may come: it changes as long as the body gets on.
+    pub fn left(&self) -> u64 {
+        *lock(&self.left)
+    }
+
     fn has_ended(&self) {
         if let Some(ended) = lock(&self.ended).take() {
             ended.send(()).ok(); // its caller may just have left
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -115,6 +115,11 @@
         Self::parse(&file()?, variable("LB_LISTEN"), None)
     }
 
+    /// Whether another process of this balancer, or an operator, may have to be followed.
+    pub fn shares(&self) -> bool {
+        self.admin.is_some() || self.listen_fd.is_some()
+    }
+
     fn parse(text: &str, listen: Option<String>, discovery: Option<String>) -> Result<Self, String> {
         let raw: Raw = json("configuration", text)?;
         let settings = raw.settings.to_string();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module: tells it what happened and does what it says. Nothing is decided here.
 
 use super::admin::Verdict;
-use super::body::{Budget, Payload, Reply};
+use super::body::{Budget, Payload, Reply, Rest, STALL};
 use super::config::Config;
 use super::counters::{self, Counters};
 use super::discovery::{Listing, State, Target};
@@ -237,7 +237,7 @@
         let known = Listing { all: true, ..driver.config.known.clone() };
         driver.on_listed(known);
         driver.set_timer(SWEEP_EVERY, Timer::Sweep);
-        if driver.config.admin.is_some() {
+        if driver.config.shares() {
             driver.set_timer(FOLLOW_EVERY, Timer::Follow);
         }
         Ok(driver)
@@ -523,8 +523,8 @@
         let request = forwarded(&open.request, address, until - now);
         let (cancel, cancelled) = oneshot::channel::<()>();
         open.out.push(Out { number, server, upstream, sent: now, begun: None, cancel: Some(cancel) });
-        let expiry =
-            expiry(self.clock.instant(until), open.deadline.is_none().then(|| open.whole.subscribe()));
+        let rest = open.request.body().rest.clone().filter(|_| open.deadline.is_none());
+        let expiry = expiry(self.clock.instant(until), rest.map(|rest| (open.whole.subscribe(), rest)));
         let inputs = self.inputs.clone();
         let exchange = exchange(request, self.means(idle, address, Some(self.counters.attempts())));
         tokio::spawn(async move {
@@ -697,14 +697,20 @@
     }
 }
 
-/// Waits until an attempt is given up: at a time, or as much after its request has come whole.
-async fn expiry(until: Instant, whole: Option<watch::Receiver<Option<Instant>>>) {
-    let Some(mut whole) = whole else { return sleep_until(until).await };
+/// Waits until an attempt is given up: at a time, or as much after its request has come whole, or when that
+/// gets no further.
+async fn expiry(until: Instant, coming: Option<(watch::Receiver<Option<Instant>>, Arc<Rest>)>) {
+    let Some((mut whole, rest)) = coming else { return sleep_until(until).await };
     let limit = until.saturating_duration_since(Instant::now());
-    let came = whole.wait_for(Option::is_some).await.ok().and_then(|whole| *whole);
-    match came {
-        Some(came) => sleep_until(came + limit).await,
-        None => pending().await, // nobody waits for its end any more
+    loop {
+        let left = rest.left();
+        let came = timeout(STALL, whole.wait_for(Option::is_some)).await;
+        match came.map(|came| came.ok().and_then(|came| *came)) {
+            Ok(Some(came)) => return sleep_until(came + limit).await,
+            Ok(None) => return pending().await, // nobody waits for its end any more
+            Err(_) if rest.left() == left => return,
+            Err(_) => {}
+        }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -93,7 +93,7 @@
     let (discovery, discovery_at) = watch::channel(config.discovery);
 
     let counters = Arc::new(counters::Counters::new(&config.names.classes));
-    let folder = std::env::var_os("TMPDIR").filter(|_| config.admin.is_some()).map(PathBuf::from);
+    let folder = std::env::var_os("TMPDIR").filter(|_| config.shares()).map(PathBuf::from);
     let shared = handover::Shared::new(folder, &format!("{}-{:x}", std::process::id(), config.seed));
     let budget = body::Budget::new(config.limits.memory / BODIES);
     let parts = (counters.clone(), budget.clone());
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -222,6 +222,22 @@
     writing.join().unwrap();
 }
 
+/// Guards a caller whose request nobody takes any further: no time of its own runs yet.
+#[test]
+fn an_upstream_that_stops_reading_a_long_request_is_given_up() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let targets = [target("s-0", listener.local_addr().unwrap(), "in_service")];
+    let program = Program::start(&config(refusing(), &targets));
+    let mut caller = program.connect();
+    caller.write(&head("post", &format!("Content-Length: {}\r\n", 30 << 20)));
+    let mut output = caller.input.get_ref().try_clone().unwrap();
+    let writing = std::thread::spawn(move || output.write_all(&noise(30 << 20)).is_ok());
+    let _unread = listener.accept().unwrap();
+    assert_eq!(caller.answer().expect("an answer").status(), 502);
+    drop(caller);
+    assert!(!writing.join().unwrap(), "the rest was not taken");
+}
+
 /// An upstream that breaks each connection after the first 200 kB of a request.
 struct TcpBreak {
     address: std::net::SocketAddr,
