Reset the connection of an HTTP/1.0 caller whose long answer broke off

HTTP/1.0 has no chunks, so that an answer of unknown length ends with its connection, broken or whole. Cause: net/server.rs passed such answers on and closed the connection alike in both cases. Ruled out: HTTP/1.1 callers, who miss the last chunk or a part of the length (a_long_answer_that_breaks_off_is_seen_to). Where the body breaks off, the socket is closed with a linger of zero. Test: a_broken_answer_without_a_length_is_reset_for_an_old_caller, seen failing without the reset.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -234,6 +234,8 @@
     passing: Option<Box<Passing>>,
     /// Goes when the answer is over.
     held: Option<Box<dyn Send>>,
+    /// Is called if the body breaks off.
+    on_break: Option<Box<dyn FnOnce() + Send>>,
 }
 
 struct Passing {
@@ -273,6 +275,11 @@
         self.held = Some(Box::new(held));
     }
 
+    /// Has this done if the body breaks off.
+    pub fn on_break(&mut self, act: impl FnOnce() + Send + 'static) {
+        self.on_break = Some(Box::new(act));
+    }
+
     /// Whether it is kept whole.
     pub fn is_whole(&self) -> bool {
         self.passing.is_none()
@@ -343,6 +350,11 @@
             (None, Some(passing)) => passing.poll(cx),
             (None, None) => Poll::Ready(None),
         };
+        if let Poll::Ready(Some(Err(_))) = data
+            && let Some(act) = self.on_break.take()
+        {
+            act();
+        }
         data.map(|data| data.map(|data| data.map(Frame::data)))
     }
 
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -1,6 +1,7 @@
 //! A caller's socket: hands hyper one request at a time, and notes what hyper does not tell.
 
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
@@ -82,6 +83,8 @@
     both_lengths: bool,
     /// Waits for more to go to hyper.
     waiting: Option<Waker>,
+    /// Its answer broke off, and nothing but a reset shows that.
+    pub resets: bool,
 }
 
 impl Seen {
@@ -105,6 +108,7 @@
             stuck_since: None,
             both_lengths: false,
             waiting: None,
+            resets: false,
         }
     }
 
@@ -272,6 +276,14 @@
     }
 }
 
+impl Drop for Gate {
+    fn drop(&mut self) {
+        if lock(&self.seen).resets {
+            SockRef::from(&self.tcp).set_linger(Some(Duration::ZERO)).ok();
+        }
+    }
+}
+
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -360,7 +360,7 @@
         end_to_end(&mut head.headers);
         let mut held = Held { seen: None, _taken: None, _named: named, _room: room };
         let (rest, came) = if whole { (None, None) } else { Some(Rest::new(body)).unzip() };
-        let is_head = head.method == Method::HEAD;
+        let (is_head, is_old) = (head.method == Method::HEAD, head.version < Version::HTTP_11);
         let request = Request::from_parts(head, Payload { kept, rest });
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let mut owed = Owed(Some(id), &self.driver);
@@ -398,6 +398,11 @@
                 length.map(|length| reply.headers_mut().insert(CONTENT_LENGTH, length));
                 if !reply.body().is_whole() {
                     held.seen = Some(seen.clone());
+                    // Without chunks, the end of the connection is that of the body.
+                    if is_old && reply.body().size_hint().exact().is_none() {
+                        let seen = seen.clone();
+                        reply.body_mut().on_break(move || lock(&seen).resets = true);
+                    }
                     reply.body_mut().hold(held);
                 }
                 reply
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -131,6 +131,26 @@
     }
 }
 
+/// A caller of HTTP/1.0 gets no chunks: only a reset tells it that an answer of unknown length broke off.
+#[test]
+fn a_broken_answer_without_a_length_is_reset_for_an_old_caller() {
+    for whole in [true, false] {
+        let upstream = Upstream::start(move |_| {
+            does(move |stream| {
+                let text = [CHUNKED.as_bytes().to_vec(), in_chunks(&noise(LENGTH), 9000, "")].concat();
+                stream.write_all(&text[..if whole { text.len() } else { LENGTH / 2 }]).unwrap();
+            })
+        });
+        let program = served_by(&upstream);
+        let mut caller = program.connect();
+        caller.write(&request("post", LONG, "").replace("HTTP/1.1", "HTTP/1.0"));
+        let mut got = Vec::new();
+        let end = caller.input.read_to_end(&mut got);
+        assert_eq!(end.is_ok(), whole, "{end:?}");
+        assert!(!whole || got.ends_with(&noise(LENGTH)));
+    }
+}
+
 /// Guards the memory: 100 callers that do not read hold up 800 MB, and the balancer holds hardly any of it.
 #[test]
 fn answers_wait_at_their_upstreams_while_callers_do_not_read() {
