--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -374,3 +374,55 @@
     rig.tell(Event::Online(ServerId(0)));
     assert!(share(&mut rig) > before / 2, "once more is nothing new");
 }
+
+/// Guards a request whose start is gone against being sent again without it.
+#[test]
+fn a_request_that_is_spent_is_not_repeated() {
+    let mut rig = Rig::new(settings(), &zones(1, 3));
+    for (outcome, spent) in [(Outcome::ConnectFailed, true), (Outcome::ConnectFailed, false)] {
+        let (id, actions) = rig.demand(SAFE);
+        assert!(sent(&actions).is_some());
+        let end = End { attempt: 0, outcome, elapsed: MS, closed: false, spent, load: None };
+        let actions = rig.tell(Event::Ended(id, end));
+        assert_eq!((sent(&actions).is_some(), refused(&actions)), (!spent, spent));
+    }
+}
+
+/// Guards a server against being held late for a request that its caller is slow to write.
+#[test]
+fn a_request_that_is_still_coming_is_never_late() {
+    let mut rig = Rig::new(settings(), &zones(1, 2));
+    rig.warm_up(50);
+    let timers = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::SetTimer { .. })).count();
+    for (streamed, expected) in [(false, 1), (true, 0)] {
+        let demand = Demand { class: SAFE, tenant: 0, time_left: 2 * SECOND, work: None, streamed };
+        rig.next_id += 1;
+        let actions = rig.tell(Event::Request(RequestId(rig.next_id + 1000), demand));
+        assert!(sent(&actions).is_some());
+        assert_eq!(timers(&actions), expected, "streamed: {streamed}");
+    }
+}
+
+/// Guards a server that passes long answers on against being taken for full, and others against one that breaks
+/// them off.
+#[test]
+fn an_answer_that_has_begun_holds_no_turn_and_counts_if_it_breaks() {
+    let mut rig = Rig::new(settings(), &zones(1, 2));
+    rig.warm_up(100);
+    let mut begun = Vec::new();
+    for _ in 0..20 {
+        let (id, actions) = rig.demand(SAFE);
+        begun.push((id, sent(&actions).expect("a server")));
+        rig.now += 20 * MS;
+        rig.tell(Event::Started(id, 0));
+    }
+    let to = |server: u32| begun.iter().filter(|(_, at)| *at == server).count();
+    assert_eq!((to(0), to(1)), (10, 10), "even turns, however many answers go on");
+    for &(id, server) in &begun {
+        let outcome = if server == 0 { Outcome::Reset } else { Outcome::Ok };
+        let end = End { attempt: 0, outcome, elapsed: 9 * SECOND, closed: true, spent: false, load: None };
+        assert_eq!(sent(&rig.tell(Event::Ended(id, end))), None, "it is the caller's by now");
+    }
+    assert_eq!(rig.balancer.avoided(), 1, "its breaker is open");
+    assert_eq!(rig.serve(SAFE, 20 * MS), Some(1));
+}
