Ask again in time after a silent watch, and before the first caller is taken

Cause: a watch waited for 20 s and was given up 2 s after that, the very moment from which what it missed counts as told. The module then asks again within a second, and a service that takes calls in turn answers up to 1.8 s later. At fault: `WAIT_ASKED` and `OVERDUE` in src/net/discovery.rs. Nothing but the end of its wait shows that a watch has fallen silent, and the time counts from the silence, but not under 6 s: a short wait leaves the most of it.

Also: where lists are pushed, the first call waited like any other, and callers were taken meanwhile, though what the agent has counts as told from the first moment. Callers are now taken after the first answer, or after half a second.

Watches that go on are no new calls: prices are as before.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,19 +10,26 @@
 use serde::Deserialize;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_util::io::InspectReader;
 
-/// How long a watch may wait. An agent on the own machine answers at no cost, and where it falls silent, a
-/// short wait notices soon; one service for all is spared calls.
-const WAIT_PUSHED: Duration = Duration::from_secs(2);
-const WAIT_ASKED: Duration = Duration::from_secs(20);
-/// Silence beyond the wait after which a call has failed.
-const OVERDUE: Duration = Duration::from_secs(2);
+/// How long a watch may wait. Nothing but the end of its wait shows that one has fallen silent, and what it misses
+/// counts as told 6 s after it fell silent, or 2 s after its wait if that is later: a short wait leaves the most
+/// time to ask again. Where all ask one service, a watch that goes on costs that next to nothing, a new call does.
+const WAIT: Duration = Duration::from_secs(2);
+/// Silence after which a call has failed, counted from the end of its wait, and from each piece of its answer.
+/// An agent on the own machine answers at once, one service for all takes calls in turn.
+const SILENCE_PUSHED: Duration = Duration::from_millis(500);
+const SILENCE_ASKED: Duration = Duration::from_millis(1000);
+/// How long an answer may take from its first byte on, and a connection to come up.
+const MOST_ANSWER: Duration = Duration::from_millis(1500);
+const CONNECT: Duration = Duration::from_millis(500);
 /// First wait after a failed call, doubling up to a cap.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// Wait before the next call where nothing was new: an agent that does not wait would be asked in a loop.
@@ -73,75 +80,88 @@
 }
 
 /// Tells the driver of every change, for ever. Another address ends what was asked of the one before, and its
-/// whole list is asked for at once: versions of two services cannot be compared.
+/// whole list is asked for at once: versions of two services cannot be compared. `told` turns true once the
+/// first call has ended, where lists are pushed: what the agent has counts as told from the start.
 pub async fn follow(
     config: Arc<Config>,
     events: UnboundedSender<Input>,
     mut subscribed: UnboundedReceiver<()>,
     mut addresses: watch::Receiver<SocketAddr>,
+    told: watch::Sender<bool>,
 ) {
+    let asked = config.settings.ask_discovery;
+    told.send_replace(asked);
     let mut known = Some(config.known.rev);
     loop {
         let address = *addresses.borrow_and_update();
+        let follower = Follower { asked, events: &events, told: &told };
         tokio::select! {
             biased;
             changed = addresses.changed() => if changed.is_err() { return },
-            () = follow_one(address, known, config.settings.ask_discovery, &events, &mut subscribed) => return,
+            () = follower.follow(address, known, &mut subscribed) => return,
         }
         known = None;
     }
 }
 
-/// Follows one discovery service until nobody wants to hear of it, from a version or from the whole list on.
-/// Where it must be asked, a watch begins when the decision module wants one, and a failure ends it until it
-/// wants one again.
-async fn follow_one(
-    address: SocketAddr,
-    known: Option<u64>,
+struct Follower<'a> {
+    /// Lists come only when asked for.
     asked: bool,
-    events: &UnboundedSender<Input>,
-    subscribed: &mut UnboundedReceiver<()>,
-) {
-    let wait = if asked { WAIT_ASKED } else { WAIT_PUSHED };
-    let mut watch = Watch { address, sender: None };
-    let (mut rev, mut whole, mut failures) = (known.unwrap_or(0), known.is_none(), 0_u32);
-    if asked && !whole && subscribed.recv().await.is_none() {
-        return;
-    }
-    loop {
-        let (path, patience) = match whole {
-            true => ("/v1/servers".to_owned(), OVERDUE),
-            false => (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait + OVERDUE),
-        };
-        match watch.call(&path, patience).await {
-            // A version that goes back means another discovery: only the whole list tells what it has.
-            Ok(listing) if listing.rev < rev && !listing.all => whole = true,
-            Ok(listing) => {
-                if failures > 0 {
-                    super::log(format_args!("discovery answers again after {failures} failures"));
-                }
-                let unchanged = listing.rev == rev;
-                (rev, whole, failures) = (listing.rev, false, 0);
-                if events.send(Input::Listed(listing)).is_err() {
-                    return;
-                }
-                if unchanged {
-                    sleep(PAUSE).await;
-                }
-            }
-            Err(error) => {
-                watch.sender = None;
-                if failures == 0 {
-                    super::log(format_args!("discovery failed: {error}"));
-                }
-                failures = failures.saturating_add(1);
-                if asked {
-                    while subscribed.try_recv().is_ok() {} // what was asked before this failure
-                    if events.send(Input::ListFailed).is_err() || subscribed.recv().await.is_none() {
+    events: &'a UnboundedSender<Input>,
+    told: &'a watch::Sender<bool>,
+}
+
+impl Follower<'_> {
+    /// Follows one discovery service until nobody wants to hear of it, from a version or from the whole list on.
+    /// Where it must be asked, a watch begins when the decision module wants one, and a failure ends it until it
+    /// wants one again. Where lists are pushed, what was missed counts as told: at the start and after a failure
+    /// it is asked for without a wait.
+    async fn follow(&self, address: SocketAddr, known: Option<u64>, subscribed: &mut UnboundedReceiver<()>) {
+        let silence = if self.asked { SILENCE_ASKED } else { SILENCE_PUSHED };
+        let mut watch = Watch { address, silence, open: None };
+        let (mut rev, mut whole, mut failures) = (known.unwrap_or(0), known.is_none(), 0_u32);
+        let mut missed = !self.asked;
+        if self.asked && !whole && subscribed.recv().await.is_none() {
+            return;
+        }
+        loop {
+            let wait = if missed || whole { Duration::ZERO } else { WAIT };
+            let path = match whole {
+                true => "/v1/servers".to_owned(),
+                false => format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()),
+            };
+            match watch.call(&path, wait).await {
+                // A version that goes back means another discovery: only the whole list tells what it has.
+                Ok(listing) if listing.rev < rev && !listing.all => whole = true,
+                Ok(listing) => {
+                    if failures > 0 {
+                        super::log(format_args!("discovery answers again after {failures} failures"));
+                    }
+                    let idle = listing.rev == rev && !missed;
+                    (rev, whole, missed, failures) = (listing.rev, false, false, 0);
+                    if self.events.send(Input::Listed(listing)).is_err() {
                         return;
                     }
-                } else {
-                    sleep((BACKOFF.0 * (1 << failures.min(8))).min(BACKOFF.1)).await;
+                    self.told.send_replace(true);
+                    if idle {
+                        sleep(PAUSE).await;
+                    }
+                }
+                Err(error) => {
+                    watch.open = None;
+                    if failures == 0 {
+                        super::log(format_args!("discovery failed: {error}"));
+                    }
+                    self.told.send_replace(true); // there is nothing to wait for
+                    (missed, failures) = (!self.asked, failures.saturating_add(1));
+                    if self.asked {
+                        while subscribed.try_recv().is_ok() {} // what was asked before this failure
+                        if self.events.send(Input::ListFailed).is_err() || subscribed.recv().await.is_none() {
+                            return;
+                        }
+                    } else {
+                        sleep((BACKOFF.0 * (1 << failures.min(8))).min(BACKOFF.1)).await;
+                    }
                 }
             }
         }
@@ -150,40 +170,70 @@
 
 struct Watch {
     address: SocketAddr,
-    sender: Option<SendRequest<Empty<Bytes>>>,
+    silence: Duration,
+    open: Option<Open>,
 }
 
-impl Watch {
-    async fn call(
-        &mut self,
-        path: &str,
-        patience: Duration,
-    ) -> Result<Listing, Box<dyn Error + Send + Sync>> {
-        timeout(patience, self.exchange(path)).await.map_err(|_| "no answer in time")?
+/// A connection to discovery.
+struct Open {
+    sender: SendRequest<Empty<Bytes>>,
+    /// Changes with each piece that comes.
+    heard: watch::Receiver<()>,
+}
+
+type Failure = Box<dyn Error + Send + Sync>;
+
+impl Open {
+    async fn new(address: SocketAddr) -> Result<Self, Failure> {
+        let tcp =
+            timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| "no connection in time")??;
+        tcp.set_nodelay(true)?;
+        let (hear, heard) = watch::channel(());
+        let tcp = InspectReader::new(tcp, move |_: &[u8]| hear.send_replace(()));
+        let (sender, connection) = handshake(TokioIo::new(tcp)).await?;
+        tokio::spawn(connection);
+        Ok(Self { sender, heard })
     }
 
-    async fn exchange(&mut self, path: &str) -> Result<Listing, Box<dyn Error + Send + Sync>> {
-        let mut sender = match self.sender.take() {
-            // The agent may have closed it since.
-            Some(sender) if !sender.is_closed() => sender,
-            _ => {
-                let tcp = TcpStream::connect(self.address).await?;
-                tcp.set_nodelay(true)?;
-                let (sender, connection) = handshake(TokioIo::new(tcp)).await?;
-                tokio::spawn(connection);
-                sender
-            }
-        };
-        sender.ready().await?;
-        let request =
-            Request::get(path).header("Host", self.address.to_string()).body(Empty::<Bytes>::new())?;
-        let response = sender.send_request(request).await?;
+    async fn exchange(&mut self, address: SocketAddr, path: &str) -> Result<Listing, Failure> {
+        self.sender.ready().await?;
+        let request = Request::get(path).header("Host", address.to_string()).body(Empty::<Bytes>::new())?;
+        let response = self.sender.send_request(request).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MOST_BYTES).collect().await?.to_bytes();
         if !status.is_success() {
             return Err(format!("status {status}").into());
         }
-        self.sender = Some(sender);
         Ok(serde_json::from_slice(&body)?)
     }
 }
+
+impl Watch {
+    /// Asks, and gives up after a silence: beyond the wait, or within the answer.
+    async fn call(&mut self, path: &str, wait: Duration) -> Result<Listing, Failure> {
+        let mut open = match self.open.take() {
+            // The agent may have closed it since.
+            Some(open) if !open.sender.is_closed() => open,
+            _ => Open::new(self.address).await?,
+        };
+        let (mut until, mut most) = (Instant::now() + wait + self.silence, None);
+        let mut heard = open.heard.clone();
+        heard.mark_unchanged();
+        let listing = {
+            let mut exchange = pin!(open.exchange(self.address, path));
+            loop {
+                tokio::select! {
+                    biased;
+                    done = exchange.as_mut() => break done?,
+                    Ok(()) = heard.changed() => {
+                        let now = Instant::now();
+                        until = (now + self.silence).min(*most.get_or_insert(now + MOST_ANSWER));
+                    }
+                    () = sleep_until(until) => return Err("no answer in time".into()),
+                }
+            }
+        };
+        self.open = Some(open);
+        Ok(listing)
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -91,6 +91,7 @@
     let (subscribe, subscribed) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
     let (discovery, discovery_at) = watch::channel(config.discovery);
+    let (tell, told) = watch::channel(false);
 
     let counters = Arc::new(counters::Counters::new(&config.names.classes));
     let folder = std::env::var_os("TMPDIR").filter(|_| config.shares()).map(PathBuf::from);
@@ -103,9 +104,9 @@
         admin::open(address, admin::Door { counters, ready, driver })?;
     }
     tokio::spawn(driver.run(inbox));
-    tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed, discovery_at));
+    tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed, discovery_at, tell));
     let server = server::Server::new(config, events, is_ready, counters, budget);
-    let serving = tokio::spawn(server.run(listener, stopping));
+    let serving = tokio::spawn(server.run(listener, told, stopping));
 
     loop {
         tokio::select! {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -175,8 +175,14 @@
         }
     }
 
-    /// Serves until told to stop, then for a while longer, and returns when all is answered.
-    pub async fn run(self, listener: TcpListener, mut stopping: watch::Receiver<bool>) {
+    /// Serves from when the first list is told until told to stop, then for a while longer, and returns when all
+    /// is answered.
+    pub async fn run(
+        self,
+        listener: TcpListener,
+        mut told: watch::Receiver<bool>,
+        mut stopping: watch::Receiver<bool>,
+    ) {
         let server = Arc::new(self);
         let looking = tokio::spawn(server.clone().cut_overdue());
         let (close, closing) = watch::channel(false);
@@ -187,8 +193,12 @@
                 sleep(server.go_on()).await;
             }
         };
+        let serving = async {
+            told.wait_for(|told| *told).await.ok();
+            server.accept(&listener, &closing).await;
+        };
         tokio::select! {
-            () = server.accept(&listener, &closing) => {}
+            () = serving => {}
             () = stopped => {}
         }
         if shared {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -471,3 +471,54 @@
         body.len()
     )
 }
+
+/// A peer that does nothing by itself: the test takes each connection, reads and writes on it.
+pub struct Port {
+    pub address: SocketAddr,
+    taken: Receiver<TcpStream>,
+}
+
+impl Port {
+    pub fn open() -> Self {
+        let (tell, taken) = channel();
+        let tell = Mutex::new(tell);
+        let address = listen(move |stream| drop(tell.lock().unwrap().send(stream)));
+        Self { address, taken }
+    }
+
+    /// The next connection.
+    pub fn accept(&self) -> Line {
+        let stream = self.taken.recv_timeout(PATIENCE).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Line { input: BufReader::new(stream) }
+    }
+}
+
+/// A connection that was taken at a `Port`.
+pub struct Line {
+    pub input: BufReader<TcpStream>,
+}
+
+impl Line {
+    pub fn read(&mut self) -> Message {
+        Message::read(&mut self.input).expect("a message")
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.input.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Whether the peer ends the connection without another byte.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.input.read(&mut [0]), Ok(0))
+    }
+}
+
+/// A list as discovery writes it, indented.
+pub fn listing(rev: u64, all: bool, targets: &[String]) -> String {
+    let body = format!(
+        "{{\n  \"rev\": {rev},\n  \"all\": {all},\n  \"targets\": [\n    {}\n  ]\n}}\n",
+        targets.join(",\n    ")
+    );
+    ok(&body)
+}
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,79 @@
+//! Events that cross on sockets, each forced: the test holds a peer at a step and lets it go on at the other event.
+//! docs/design.md lists them.
+
+mod common;
+
+use common::process::*;
+use std::time::{Duration, Instant};
+
+/// A configuration in which lists are asked for, or pushed.
+fn configured(mode: &str, discovery: &Port, known: &[String]) -> serde_json::Value {
+    let mut config = config(discovery.address, known);
+    config["settings"]["Discovery"] = mode.into();
+    config["settings"]["Safety"]["AskWithinNs"] = 10_000_000_000_u64.into();
+    config
+}
+
+/// Guards the rule on drains: what a silent watch misses counts as told 6 s after it fell silent, or 2 s after its
+/// wait if that is later. Only asking again tells it.
+#[test]
+fn a_watch_that_falls_silent_is_asked_again_in_time() {
+    let whole = listing(2, true, &[]);
+    for mode in ["push", "ask"] {
+        for until in [0, "HTTP/1.1 200".len(), whole.len() / 2] {
+            let (old, new) =
+                (Upstream::start(|_| Act::Answer(ok("old"))), Upstream::start(|_| Act::Answer(ok("new"))));
+            let discovery = Port::open();
+            let program = Program::start(&configured(mode, &discovery, &in_service(&[&old])));
+            let mut watch = discovery.accept();
+            let mut call = watch.read().first_line;
+            if call.contains("wait_ms=0 ") {
+                watch.write(&listing(1, false, &[])); // nothing was missed before
+                call = watch.read().first_line;
+            }
+            let wait = call.split("wait_ms=").nth(1).and_then(|wait| wait.split(' ').next()).unwrap();
+            let silent = Instant::now();
+            watch.write(&whole[..until]);
+            let mut again = discovery.accept();
+            assert!(again.read().first_line.contains("after=1&"), "what has changed since");
+            let told = Duration::from_secs(6).max(Duration::from_millis(wait.parse().unwrap()) + 2 * SECOND);
+            assert!(silent.elapsed() + SECOND < told, "{mode}, {until} bytes: after {:?}", silent.elapsed());
+            again.write(&listing(2, true, &[target("s-new", new.address, "in_service")]));
+            again.read(); // it has taken that
+            assert_eq!(program.call("post").body, b"new", "{mode}, {until} bytes");
+            assert_eq!(old.requests(), 0);
+        }
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards the rule on drains at a start: what the agent has counts as told from the first moment.
+#[test]
+fn the_first_request_waits_for_the_list_of_the_agent() {
+    let (old, new) =
+        (Upstream::start(|_| Act::Answer(ok("old"))), Upstream::start(|_| Act::Answer(ok("new"))));
+    let discovery = Port::open();
+    let program = Program::start(&configured("push", &discovery, &in_service(&[&old])));
+    let mut agent = discovery.accept();
+    agent.read();
+    let mut caller = program.connect();
+    caller.send("post", LONG, "b"); // while the answer of the agent is held
+    agent.write(&listing(
+        2,
+        false,
+        &[target("s-0", old.address, "terminating"), target("s-1", new.address, "in_service")],
+    ));
+    assert_eq!(caller.answer().expect("an answer").body, b"new");
+    assert_eq!(old.requests(), 0);
+}
+
+/// An agent that is down says nothing, and nobody learns anything from it: what was known serves.
+#[test]
+fn a_silent_agent_does_not_keep_a_balancer_from_serving() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("known")));
+    let discovery = Port::open();
+    let program = Program::start(&configured("push", &discovery, &in_service(&[&upstream])));
+    discovery.accept().read();
+    assert_eq!(program.call("post").body, b"known");
+}
