See a caller leave behind any further bytes, and answer it no more

Symptom: a request whose caller has left is sent on: on sockets, a caller that sends 40 KB more and closes is never seen to leave, its attempt goes on, and where that is turned away it is sent again.

Cause: what follows an open request was read up to 16 KB and then no more, so that the end behind it never came (`room == 0` in `Gate::poll_read`, src/net/gate.rs). And hyper does not look for the end while it holds bytes of what follows, as it does behind a body in chunks.

Now the connection is read beside hyper while its request is open; what is more than is kept is dropped, and the connection ends with the present answer, so that a caller that sent on knows what was not taken.

Ruled out: the driver (the input about a caller that left comes at once with FIN, RST, or 10 bytes). The test is seen failing on the former program with 40 KB: the connection is never closed.

--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -4,9 +4,10 @@
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -83,6 +84,8 @@
     both_lengths: bool,
     /// Waits for more to go to hyper.
     waiting: Option<Waker>,
+    /// More came behind it than is kept, and was dropped.
+    overrun: bool,
     /// Its answer broke off, and nothing but a reset shows that.
     pub resets: bool,
 }
@@ -108,6 +111,7 @@
             stuck_since: None,
             both_lengths: false,
             waiting: None,
+            overrun: false,
             resets: false,
         }
     }
@@ -147,7 +151,7 @@
 
     /// Whether nothing may follow the present request.
     pub fn is_last(&self) -> bool {
-        self.phase == Phase::Unbounded
+        self.phase == Phase::Unbounded || self.overrun
     }
 
     /// The present request has been read to its end; tells when its last byte came.
@@ -173,6 +177,21 @@
         }
     }
 
+    /// Reads what has come. While a request is open, what follows it is read as well, as its caller's end would
+    /// not show behind that: what is more than is kept is dropped, and the connection ends with the answer.
+    fn read(&mut self, tcp: &TcpStream) -> io::Result<()> {
+        let room = MOST_AHEAD.saturating_sub(self.ahead.len());
+        let got = if room > 0 {
+            self.ahead.reserve(room.min(MOST_HEAD / 2));
+            tcp.try_read_buf(&mut self.ahead)?
+        } else {
+            self.overrun = true;
+            tcp.try_read(&mut [0; MOST_HEAD])?
+        };
+        self.take_in(got);
+        Ok(())
+    }
+
     fn take_in(&mut self, got: usize) {
         let now = Instant::now();
         self.waited += self.waiting_since.take().map_or(Duration::ZERO, |since| now - since);
@@ -249,25 +268,46 @@
     std::str::from_utf8(text).ok().filter(|_| digits)?.parse().ok()
 }
 
+/// A caller's socket, as it is seen beside hyper.
+#[derive(Clone)]
+pub struct Line {
+    tcp: Arc<TcpStream>,
+    pub seen: Arc<Mutex<Seen>>,
+}
+
+impl Line {
+    /// Waits until the caller of a request that has come whole has left. hyper does not look while it holds bytes of
+    /// what follows.
+    pub async fn left(&self) {
+        while self.tcp.readable().await.is_ok() {
+            let mut seen = lock(&self.seen);
+            if seen.ended {
+                return;
+            }
+            match seen.read(&self.tcp) {
+                Err(error) if error.kind() != ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    }
+}
+
 /// A socket that hands on no byte of a request before the one in front of it is answered. So the end of a caller
 /// shows while its request is open, a request's time can run from its last byte, and one that stands between
 /// requests, or in the midst of one, is told from one that has a request open.
-pub struct Gate {
-    tcp: TcpStream,
-    seen: Arc<Mutex<Seen>>,
-}
+pub struct Gate(Line);
 
 impl Gate {
-    pub fn new(tcp: TcpStream) -> (Self, Arc<Mutex<Seen>>) {
-        let seen = Arc::new(Mutex::new(Seen::new()));
-        (Self { tcp, seen: seen.clone() }, seen)
+    pub fn new(tcp: TcpStream) -> (Self, Line) {
+        let line = Line { tcp: Arc::new(tcp), seen: Arc::new(Mutex::new(Seen::new())) };
+        (Self(line.clone()), line)
     }
 }
 
 impl Gate {
     /// Notes whether the caller takes what it is given.
     fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        let stuck = &mut lock(&self.seen).stuck_since;
+        let stuck = &mut lock(&self.0.seen).stuck_since;
         match written {
             Poll::Pending => drop(stuck.get_or_insert_with(Instant::now)),
             Poll::Ready(_) => *stuck = None,
@@ -278,8 +318,8 @@
 
 impl Drop for Gate {
     fn drop(&mut self) {
-        if lock(&self.seen).resets {
-            SockRef::from(&self.tcp).set_linger(Some(Duration::ZERO)).ok();
+        if lock(&self.0.seen).resets {
+            SockRef::from(&*self.0.tcp).set_linger(Some(Duration::ZERO)).ok();
         }
     }
 }
@@ -294,7 +334,8 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut seen = lock(&self.seen);
+        let Line { tcp, seen } = &self.0;
+        let mut seen = lock(seen);
         loop {
             let most = seen.passable();
             if most > 0 {
@@ -305,37 +346,45 @@
                 return Poll::Ready(Ok(()));
             }
             seen.waiting = Some(cx.waker().clone());
-            let room = MOST_AHEAD.saturating_sub(seen.ahead.len());
-            if room == 0 {
-                return Poll::Pending; // until it is answered
-            }
-            if self.tcp.poll_read_ready(cx)?.is_pending() {
+            if tcp.poll_read_ready(cx)?.is_pending() {
                 seen.waiting_since.get_or_insert_with(Instant::now);
                 return Poll::Pending;
             }
-            seen.ahead.reserve(room.min(MOST_HEAD / 2));
-            match self.tcp.try_read_buf(&mut seen.ahead) {
-                Ok(got) => seen.take_in(got),
+            match seen.read(tcp) {
+                Err(error) if error.kind() != ErrorKind::WouldBlock => return Poll::Ready(Err(error)),
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Gate {
+    fn poll_io(
+        &self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.tcp.poll_write_ready(cx))?;
+            match write(&self.0.tcp) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                done => return Poll::Ready(done),
             }
         }
     }
 }
 
 impl AsyncWrite for Gate {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.tcp).poll_write(cx, bytes);
-        self.note(written)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.note(self.poll_io(cx, |tcp| tcp.try_write(bytes)))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.tcp).poll_write_vectored(cx, parts);
-        self.note(written)
+        self.note(self.poll_io(cx, |tcp| tcp.try_write_vectored(parts)))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -346,7 +395,7 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0.tcp).shutdown(Shutdown::Write))
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,7 +4,7 @@
 use super::config::Config;
 use super::counters::{Counters, End, Taken};
 use super::driver::{Answer, Call, Input};
-use super::gate::{Gate, Idle, MOST_HEAD, Seen, lock};
+use super::gate::{Gate, Idle, Line, MOST_HEAD, Seen, lock};
 use super::upstream::is_local;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -80,7 +80,7 @@
 struct Caller {
     /// Beyond the connections that may be served: its requests are refused at once.
     surplus: bool,
-    seen: Arc<Mutex<Seen>>,
+    line: Line,
     /// It is on its way out.
     leaving: AtomicBool,
     /// It is to be closed between requests.
@@ -109,9 +109,9 @@
             let is_call = self.server.class(&request).is_some();
             let mut reply = match self.caller.surplus {
                 true => self.server.refuse_surplus(&request),
-                false => self.server.reply(request, &self.caller.seen).await,
+                false => self.server.reply(request, &self.caller.line).await,
             };
-            let mut seen = lock(&self.caller.seen);
+            let mut seen = lock(&self.caller.line.seen);
             if seen.is_last() || seen.both_lengths() || self.server.handed_over.load(Ordering::Relaxed) {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -242,7 +242,7 @@
         loop {
             sleep(LOOK_EVERY).await;
             let callers = lock(&self.callers);
-            let overdue = callers.values().filter(|caller| lock(&caller.seen).overdue(PATIENCE));
+            let overdue = callers.values().filter(|caller| lock(&caller.line.seen).overdue(PATIENCE));
             overdue.for_each(|caller| caller.cut.notify_one());
         }
     }
@@ -280,7 +280,8 @@
     fn close_idle(&self) -> bool {
         let callers = lock(&self.callers);
         let staying = callers.values().filter(|caller| !caller.leaving.load(Ordering::Relaxed));
-        let idle: Vec<_> = staying.filter_map(|caller| Some((lock(&caller.seen).idle()?, caller))).collect();
+        let idle: Vec<_> =
+            staying.filter_map(|caller| Some((lock(&caller.line.seen).idle()?, caller))).collect();
         let uncalled = idle.iter().filter(|((idle, _), _)| *idle != Idle::Resting).count();
         let crowded = uncalled > self.config.limits.callers / UNCALLED;
         let rank = |idle, since: Instant| match idle {
@@ -301,9 +302,9 @@
     fn take(self: &Arc<Self>, tcp: TcpStream, closing: &watch::Receiver<bool>) {
         tcp.set_nodelay(true).ok();
         let surplus = self.count() >= self.config.limits.callers && !self.close_idle();
-        let (gate, seen) = Gate::new(tcp);
+        let (gate, line) = Gate::new(tcp);
         let (close, cut) = (Notify::new(), Notify::new());
-        let caller = Arc::new(Caller { surplus, seen, leaving: AtomicBool::new(false), close, cut });
+        let caller = Arc::new(Caller { surplus, line, leaving: AtomicBool::new(false), close, cut });
         let number = self.next_caller.fetch_add(1, Ordering::Relaxed);
         lock(&self.callers).insert(number, caller.clone());
         tokio::spawn(Place { server: self.clone(), number, caller }.serve(gate, closing.clone()));
@@ -322,14 +323,14 @@
         self.config.names.classes.iter().position(|class| class == in_path)
     }
 
-    async fn reply(&self, request: Request<Incoming>, seen: &Arc<Mutex<Seen>>) -> Response<Reply> {
+    async fn reply(&self, request: Request<Incoming>, line: &Line) -> Response<Reply> {
         if request.uri().path() == "/healthz" {
             return match *self.ready.borrow() {
                 true => status(StatusCode::OK),
                 false => status(StatusCode::SERVICE_UNAVAILABLE),
             };
         }
-        match self.call(request, seen).await {
+        match self.call(request, line).await {
             Ok(reply) => reply,
             Err((code, text)) => {
                 let mut reply = Response::new(Reply::from(Bytes::from_static(text.as_bytes())));
@@ -342,8 +343,9 @@
     async fn call(
         &self,
         request: Request<Incoming>,
-        seen: &Arc<Mutex<Seen>>,
+        line: &Line,
     ) -> Result<Response<Reply>, (StatusCode, &'static str)> {
+        let seen = &line.seen;
         if lock(seen).both_lengths() {
             return Err((StatusCode::BAD_REQUEST, "Content-Length beside Transfer-Encoding\n"));
         }
@@ -396,7 +398,12 @@
         };
         let answer = match early {
             Some(answer) => answer,
-            None => answered.await,
+            None => tokio::select! {
+                biased;
+                answer = answered => answer,
+                // Nobody reads this; with it the request is given up.
+                () = line.left() => return Err((StatusCode::BAD_REQUEST, "the caller has left\n")),
+            },
         };
         owed.0 = None;
         Ok(match answer.unwrap_or(Answer::Failed) {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -342,6 +342,20 @@
         self.signal("-HUP");
     }
 
+    /// Stops the program where it is: what happens until it goes on, it finds all at once.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let state = || {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+            stat.rsplit(") ").next().unwrap().starts_with('T')
+        };
+        eventually("the program stops", state);
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
@@ -358,6 +372,21 @@
         }
     }
 
+    /// Connections that callers have with it.
+    pub fn connections(&self) -> usize {
+        const ESTABLISHED_OR_LEFT: [&str; 2] = ["01", "08"];
+        let SocketAddr::V4(address) = self.address else { unreachable!("bound to IPv4") };
+        let address = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+        let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let own = sockets.lines().map(|socket| socket.split_whitespace().skip(1));
+        own.filter(|fields| {
+            let mut fields = fields.clone();
+            fields.next() == Some(&address)
+                && fields.nth(1).is_some_and(|state| ESTABLISHED_OR_LEFT.contains(&state))
+        })
+        .count()
+    }
+
     /// Resident memory, in KiB.
     pub fn memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -441,6 +470,17 @@
         self.write(&request(class, budget, body));
     }
 
+    /// Leaves: by FIN, by RST, or by FIN behind so many further bytes.
+    pub fn leave(mut self, way: Leave) {
+        match way {
+            Leave::Fin => {}
+            Leave::Rst => {
+                socket2::SockRef::from(self.input.get_ref()).set_linger(Some(Duration::ZERO)).unwrap()
+            }
+            Leave::After(bytes) => self.write(&"m".repeat(bytes)),
+        }
+    }
+
     /// The next answer; `None` where the connection ends without one.
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.input)
@@ -453,6 +493,17 @@
     }
 }
 
+/// How a caller leaves.
+#[derive(Clone, Copy, Debug)]
+pub enum Leave {
+    Fin,
+    Rst,
+    After(usize),
+}
+
+/// All ways to leave: with few bytes, and with more than are kept of what follows a request.
+pub const WAYS: [Leave; 4] = [Leave::Fin, Leave::Rst, Leave::After(10), Leave::After(40 << 10)];
+
 /// A request as a caller writes it, with an id of its own.
 pub fn request(class: &str, budget: &str, body: &str) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -522,3 +573,73 @@
     );
     ok(&body)
 }
+
+/// An address whose connections do not come up until the test lets them in: those before fill the backlog.
+pub struct Crowded {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    before: Vec<TcpStream>,
+}
+
+impl Crowded {
+    pub fn open() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let another = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+        let before = std::iter::from_fn(another).collect();
+        let crowded = Self { address, listener, before };
+        crowded.nobody_waits(); // the last try of our own is over
+        crowded
+    }
+
+    /// Connections that have not come up.
+    fn waiting(&self) -> usize {
+        const SYN_SENT: &str = "02";
+        let SocketAddr::V4(address) = self.address else { unreachable!("bound to IPv4") };
+        let address = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+        let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let mut waiting = 0;
+        for socket in sockets.lines() {
+            let mut fields = socket.split_whitespace().skip(2);
+            waiting += usize::from(fields.next() == Some(&address) && fields.next() == Some(SYN_SENT));
+        }
+        waiting
+    }
+
+    /// Waits until so many connections wait to come up.
+    pub fn wait_for(&self, waiting: usize) {
+        eventually("connections that wait", || self.waiting() == waiting);
+    }
+
+    /// Waits until no connection waits to come up any more.
+    pub fn nobody_waits(&self) {
+        self.wait_for(0);
+    }
+
+    /// Lets in what waits, which takes the kernel some seconds, and whatever comes later.
+    pub fn let_in(self, act: impl Fn(&Message) -> Act + Send + Sync + 'static) -> Upstream {
+        let (tell, seen) = channel();
+        let address = self.address;
+        let act = Arc::new(act);
+        std::thread::spawn(move || {
+            drop(self.before);
+            for stream in self.listener.incoming().map_while(Result::ok) {
+                let (act, tell) = (act.clone(), tell.clone());
+                std::thread::spawn(move || upstream_connection(stream, &*act, &tell));
+            }
+        });
+        Upstream { address, seen }
+    }
+}
+
+/// Waits until something holds.
+pub fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let asked = std::time::Instant::now();
+    while !holds() {
+        assert!(asked.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -77,3 +77,43 @@
     discovery.accept().read();
     assert_eq!(program.call("post").body, b"known");
 }
+
+// ---- Callers that leave while their request waits elsewhere ----
+
+/// A configuration whose only upstream is at an address, and where attempts may be cancelled or not.
+fn alone_at(
+    address: std::net::SocketAddr,
+    discovery: std::net::SocketAddr,
+    may_cancel: bool,
+) -> serde_json::Value {
+    let mut config = config(discovery, &[target("s-0", address, "in_service")]);
+    config["settings"]["Limits"]["Cancelling"] = may_cancel.into();
+    config
+}
+
+/// Where a request is turned away, the next attempt follows at once; with its caller gone it must not.
+#[test]
+fn a_request_whose_caller_leaves_before_a_retry_is_not_sent_again() {
+    for way in WAYS {
+        let upstream = Port::open();
+        let program = Program::start(&alone_at(upstream.address, refusing(), false));
+        let mut caller = program.connect();
+        caller.send("post", LONG, "first");
+        let mut line = upstream.accept();
+        assert_eq!(line.read().body, b"first");
+        gone_after(&program, caller, way);
+        line.write(&full());
+        let mut later = program.connect();
+        later.send("post", LONG, "later");
+        assert_eq!(line.read().body, b"later", "{way:?}");
+        line.write(&ok(""));
+        assert_eq!(later.answer().expect("an answer").status(), 200);
+    }
+}
+
+/// Has a caller leave, and waits until the program has seen that: it closes its side then.
+fn gone_after(program: &Program, caller: Caller, way: Leave) {
+    let open = program.connections();
+    caller.leave(way);
+    eventually("the end of the caller's connection", || program.connections() < open);
+}
