Take an attempt back that waits for its connection once it may not be sent

On sockets, a request whose caller leaves during a connect is still sent where attempts must not be cancelled, and one whose time ends there is failed instead of refused.

Cause: the module picks while an upstream is in service, and the attempt was written whenever its connection came up. Nobody looked again: `on_listed`, `enforce` and `take_answer` in src/net/driver.rs closed idle connections only, and a time-out before the first byte passed for one that may have run.

Now the driver knows whether an attempt has its connection. Before that it is taken back, as never sent, when its upstream drains, goes, moves or is taken out by hand, and when its request has its answer or its caller has left. The module picks anew where an answer is still owed.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,7 +14,7 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
@@ -118,10 +118,21 @@
     sent: Time,
     /// How the request ends if the answer that has begun comes to its end, and the figures that came with it.
     begun: Option<(counters::End, Option<LoadReport>)>,
+    /// It has its connection: from here on it may be written. Before, it can be taken back as if never sent.
+    under_way: Arc<AtomicBool>,
     /// Dropping it withdraws the attempt.
     cancel: Option<oneshot::Sender<()>>,
 }
 
+impl Out {
+    /// Withdraws the attempt, unless it may have been written.
+    fn take_back(&mut self) {
+        if !self.under_way.load(Ordering::Relaxed) {
+            self.cancel = None;
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Module(u64),
@@ -357,6 +368,7 @@
         let former = std::mem::replace(&mut self.bans, bans.clone());
         for uid in bans.difference(&former) {
             let server = self.id(uid);
+            self.take_back(server);
             self.tell(Event::Offline(server));
         }
         for uid in former.difference(&bans) {
@@ -391,17 +403,28 @@
         let (named, gone) = (names(false), names(true));
         let (servers, idle, former) = (&mut self.servers, &mut self.idle, &mut self.former);
         let bans = &self.bans;
+        let mut left = Vec::new();
         self.ids.retain(|uid, server| {
             let stays = !gone.contains(uid.as_str()) && (!listing.all || named.contains(uid.as_str()));
             if !stays && servers.remove(server).is_some() {
                 idle.close(*server);
                 former.push_back(uid.clone());
+                left.push(*server);
             }
             stays || bans.contains(uid) // what is out by hand is so when it is listed again
         });
+        left.into_iter().for_each(|server| self.take_back(server));
+        let former = &mut self.former;
         former.drain(..former.len().saturating_sub(MOST_FORMER));
     }
 
+    /// Withdraws the attempts that still wait for a connection to an upstream: once it is there, they would be
+    /// written. The module hears that they were never sent.
+    fn take_back(&mut self, server: ServerId) {
+        let out = self.requests.values_mut().flat_map(|open| &mut open.out);
+        out.filter(|out| out.server == server).for_each(Out::take_back);
+    }
+
     fn id(&mut self, uid: &str) -> ServerId {
         *self.ids.entry(uid.to_owned()).or_insert_with(|| {
             self.next_server += 1;
@@ -417,9 +440,10 @@
         }
         let in_service = target.state == State::InService;
         let upstream = Upstream { address, boot_ms: target.boot_ms, in_service };
-        // Connections to a former process, or to one that takes nothing new, are of no use.
+        // Connections to a former process, or to one that takes nothing new, are of no use, nor is waiting for one.
         if !in_service || self.servers.get(&server) != Some(&upstream) {
             self.idle.close(server);
+            self.take_back(server);
         }
         self.servers.insert(server, upstream);
         let zone = self.config.names.zones.iter().position(|zone| *zone == target.az);
@@ -477,10 +501,12 @@
         }
     }
 
-    /// Where the answer to a request goes, if it is owed one still. Nothing else is, then.
+    /// Where the answer to a request goes, if it is owed one still. Nothing else is, then: an attempt that waits
+    /// for its connection is not sent any more, also where those that are out must not be cancelled.
     fn take_answer(&mut self, id: RequestId) -> Option<(oneshot::Sender<Answer>, usize)> {
         let open = self.requests.get_mut(&id)?;
         let answer = open.answer.take()?;
+        open.out.iter_mut().for_each(Out::take_back);
         if let Some(deadline) = open.deadline {
             self.nets.remove(&(deadline.saturating_add(NET_AFTER), id));
         }
@@ -522,17 +548,30 @@
         }
         let request = forwarded(&open.request, address, until - now);
         let (cancel, cancelled) = oneshot::channel::<()>();
-        open.out.push(Out { number, server, upstream, sent: now, begun: None, cancel: Some(cancel) });
+        let under_way = Arc::new(AtomicBool::new(false));
+        let mark = under_way.clone();
+        open.out.push(Out {
+            number,
+            server,
+            upstream,
+            sent: now,
+            begun: None,
+            under_way,
+            cancel: Some(cancel),
+        });
         let rest = open.request.body().rest.clone().filter(|_| open.deadline.is_none());
         let expiry = expiry(self.clock.instant(until), rest.map(|rest| (open.whole.subscribe(), rest)));
         let inputs = self.inputs.clone();
-        let exchange = exchange(request, self.means(idle, address, Some(self.counters.attempts())));
+        let tally = Some(self.counters.attempts());
+        let exchange =
+            exchange(request, Means { under_way: mark.clone(), ..self.means(idle, address, tally) });
         tokio::spawn(async move {
+            let unless_sent = |outcome, unsent| if mark.load(Ordering::Relaxed) { outcome } else { unsent };
             let exchanged = tokio::select! {
-                biased;
+                biased; // nobody wants the answer to what is withdrawn, while one that comes just in time counts
+                _ = cancelled => unless_sent(Outcome::Cancelled, Outcome::Moot).into(),
                 exchanged = exchange => exchanged,
-                () = expiry => Outcome::Timeout.into(),
-                _ = cancelled => Outcome::Cancelled.into(),
+                () = expiry => unless_sent(Outcome::Timeout, Outcome::ConnectFailed).into(),
             };
             let input = match exchanged {
                 Exchanged::Ended(finished) => Input::Ended(id, number, finished),
@@ -550,6 +589,7 @@
             open: self.idle.open(),
             tally,
             budget: self.budget.clone(),
+            under_way: Arc::default(),
         }
     }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -73,6 +73,8 @@
     /// Counts the attempts that are written whole.
     pub tally: Option<Arc<AtomicU64>>,
     pub budget: Arc<Budget>,
+    /// Is set when the connection is there, before the first byte is written.
+    pub under_way: Arc<AtomicBool>,
 }
 
 /// Sends a request on a connection, or on a new one, and waits for its whole answer, or for enough of a long one.
@@ -86,6 +88,7 @@
             Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
         },
     };
+    means.under_way.store(true, Ordering::Relaxed);
     let progress = connection.progress.clone();
     progress.body_taken.store(false, Ordering::Relaxed);
     progress.written.store(false, Ordering::Relaxed);
@@ -386,6 +389,7 @@
             open: Arc::default(),
             tally: None,
             budget: Budget::new(1 << 20),
+            under_way: Arc::default(),
         };
         let Exchanged::Ended(finished) = exchange(Request::new(Payload::default()), means).await else {
             panic!("the answer is whole");
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -78,7 +78,7 @@
     assert_eq!(program.call("post").body, b"known");
 }
 
-// ---- Callers that leave while their request waits elsewhere ----
+// ---- A connection that does not come up ----
 
 /// A configuration whose only upstream is at an address, and where attempts may be cancelled or not.
 fn alone_at(
@@ -91,6 +91,58 @@
     config
 }
 
+/// Guards the rule on drains: a request must not be written to an upstream that was told to drain while the
+/// connection to it was coming up.
+#[test]
+fn a_request_that_waits_for_a_connection_leaves_an_upstream_that_drains() {
+    for gone in [false, true] {
+        let (crowded, new) = (Crowded::open(), Upstream::start(|_| Act::Answer(ok("new"))));
+        let discovery = Discovery::start();
+        let program = Program::start(&alone_at(crowded.address, discovery.address, true));
+        let mut caller = program.connect();
+        caller.send("post", LONG, "b");
+        crowded.wait_for(1);
+        let mut list = vec![target("s-1", new.address, "in_service")];
+        list.extend((!gone).then(|| target("s-0", crowded.address, "terminating")));
+        discovery.publish(&list);
+        let old = crowded.let_in(|_| Act::Answer(ok("old")));
+        assert_eq!(caller.answer().expect("an answer").body, b"new", "gone: {gone}");
+        assert_eq!(old.requests(), 0);
+    }
+}
+
+/// Guards upstreams against work that nobody waits for, also where attempts that are out must not be cancelled.
+#[test]
+fn a_request_whose_caller_leaves_during_a_connect_is_not_sent_on() {
+    for may_cancel in [true, false] {
+        for way in WAYS {
+            let crowded = Crowded::open();
+            let program = Program::start(&alone_at(crowded.address, refusing(), may_cancel));
+            let mut caller = program.connect();
+            caller.send("post", LONG, "b");
+            crowded.wait_for(1);
+            caller.leave(way);
+            crowded.nobody_waits();
+            // What comes later finds the upstream free of the first.
+            let upstream = crowded.let_in(|_| Act::Answer(ok("")));
+            assert_eq!(program.connect().call("post", LONG, "later").unwrap().status(), 200, "{way:?}");
+            assert_eq!(upstream.request().body, b"later", "{way:?}, may cancel: {may_cancel}");
+        }
+    }
+}
+
+/// Guards what may be repeated: an attempt whose connection never came up was never sent, and its caller may come
+/// again.
+#[test]
+fn a_request_whose_time_ends_during_a_connect_is_refused_not_failed() {
+    let crowded = Crowded::open();
+    let program = Program::start(&alone_at(crowded.address, refusing(), true));
+    let answer = program.connect().call("post", "0.3", "b").expect("an answer");
+    assert_eq!(answer.status(), 503);
+}
+
+// ---- Callers that leave while their request waits elsewhere ----
+
 /// Where a request is turned away, the next attempt follows at once; with its caller gone it must not.
 #[test]
 fn a_request_whose_caller_leaves_before_a_retry_is_not_sent_again() {
@@ -117,3 +169,41 @@
     caller.leave(way);
     eventually("the end of the caller's connection", || program.connections() < open);
 }
+
+/// Guards against what a balancer finds all at once after it was held up: requests whose callers have left already.
+#[test]
+fn requests_whose_callers_left_in_the_backlog_are_not_sent_on() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = Program::start(&alone_at(upstream.address, refusing(), false));
+    assert_eq!(program.call("post").status(), 200);
+    upstream.request();
+    program.pause();
+    for way in WAYS {
+        let mut caller = program.connect();
+        caller.send("post", LONG, "left");
+        caller.leave(way);
+    }
+    let mut later = program.connect();
+    later.send("post", LONG, "later");
+    program.go_on();
+    assert_eq!(later.answer().expect("an answer").status(), 200);
+    assert_eq!(upstream.request().body, b"later");
+    assert_eq!(upstream.requests(), 0);
+}
+
+/// Guards against a request cut off in its body, which is none.
+#[test]
+fn a_request_whose_caller_leaves_within_its_body_is_not_sent_on() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = Program::start(&alone_at(upstream.address, refusing(), false));
+    for size in [10, 60 << 10] {
+        for way in [Leave::Fin, Leave::Rst, Leave::After(3)] {
+            let mut caller = program.connect();
+            let whole = request("post", LONG, &"b".repeat(size));
+            caller.write(&whole[..whole.len() - 5]);
+            gone_after(&program, caller, way);
+        }
+    }
+    assert_eq!(program.connect().call("post", LONG, "later").unwrap().status(), 200);
+    assert_eq!(upstream.request().body, b"later");
+}
