Break a short answer without an end off at the time of its request

Symptom: on sockets, an answer in chunks that stops, or drips on for ever, holds its caller for 15 s and more, while a final answer is owed by the request's time and half a second. The rule on lost requests has it as lost.

Cause: once an answer of unknown length is passed on, no time of its request ran any more (`Reply::passing` in src/net/body.rs waited for `STALL` only), as is right for a long one, whose first bytes are timed.

Now the request's time goes on until more than 64 KiB have come; then it is a long one. Its caller sees the break, as before. Answers that say a length over 64 KiB are long from the start.

Ruled out: answers with a short length, which are kept whole and end with their attempt; those without end in the head, which hyper gives up.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -602,8 +602,10 @@
         self.pending.push_back((id, end));
     }
 
-    /// The answer is passed on as it comes: no time of its request runs any more.
+    /// The answer is passed on as it comes: of a long one, no time of its request runs any more.
     fn on_begun(&mut self, id: RequestId, number: u32, begun: Begun) {
+        let deadline = self.requests.get(&id).and_then(|open| open.deadline);
+        let until = deadline.map(|deadline| self.clock.instant(deadline));
         let Some((sender, _)) = self.take_answer(id) else {
             return self.on_ended(id, number, Outcome::Cancelled.into());
         };
@@ -615,7 +617,8 @@
             inputs.send(Input::Ended(id, number, finished)).ok();
         });
         let Begun { head, body, connection, room } = begun;
-        let answer = Answer::Served(head.map(|kept| Reply::passing(kept, body, connection, room, report)));
+        let answer =
+            Answer::Served(head.map(|kept| Reply::passing(kept, (body, connection, room), until, report)));
         if let Some(out) = out {
             out.begun = Some((answer.end(), load));
         }
