Answer requests that have begun to come when connections are closed, and follow SIGHUP to the end

Symptom: on sockets, a request whose head is half read when connections are closed after SIGTERM gets no answer at all; one whose body is half read may be taken so late that the kill finds it unanswered. A SIGHUP that comes with SIGTERM, or while the last callers are served, is not followed, and the list is that of the old address.

Cause: the gate keeps a head back until it is whole, so that hyper takes its connection for idle and closes it at once (`Place::serve` in src/net/server.rs); the same goes for bytes that the runtime has not heard of yet, and for a connection that was just taken. Nothing refused what came too late. `run` in src/net/mod.rs left its loop at the signal.

Now a connection on which a request begins is closed with its answer, or after the 2.5 s that any caller has; what comes more than 0.1 s after the closing is refused at once, as its answer might come after the kill. Signals are heard until the end; a second signal to stop changes nothing.

Ruled out: the time of the drain itself, which is sized by deadlines and aims in the settings and leaves 0.3 s; requests in the backlog, which were answered (test passes before and after). Two tests fail on the former program.

--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -4,6 +4,7 @@
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -276,6 +277,16 @@
 }
 
 impl Line {
+    /// Whether a request has begun to come that hyper knows nothing of yet, or may any moment on a new connection:
+    /// closed now, it would get no answer.
+    pub fn expects(&self, newly: Duration) -> bool {
+        let idle = lock(&self.seen).idle();
+        let begun = matches!(idle, Some((Idle::Begun, _)));
+        let is_new = matches!(idle, Some((Idle::Silent, since)) if since.elapsed() < newly);
+        let peeked = SockRef::from(&*self.tcp).peek(&mut [MaybeUninit::uninit()]);
+        begun || is_new || idle.is_some() && peeked.is_ok_and(|bytes| bytes > 0)
+    }
+
     /// Waits until the caller of a request that has come whole has left. hyper does not look while it holds bytes of
     /// what follows.
     pub async fn left(&self) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -106,15 +106,15 @@
     tokio::spawn(driver.run(inbox));
     tokio::spawn(discovery::follow(config.clone(), events.clone(), subscribed, discovery_at, tell));
     let server = server::Server::new(config, events, is_ready, counters, budget);
-    let serving = tokio::spawn(server.run(listener, told, stopping));
+    let mut serving = tokio::spawn(server.run(listener, told, stopping));
 
+    // Discovery may move while the last callers are served, and a second signal to stop changes nothing.
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = int.recv() => break,
+            ended = &mut serving => return ended.map_err(|error| format!("the server stopped: {error}")),
+            _ = term.recv() => { stop.send_replace(true); }
+            _ = int.recv() => { stop.send_replace(true); }
             _ = hup.recv() => reload(&discovery),
         }
     }
-    stop.send_replace(true);
-    serving.await.map_err(|error| format!("the server stopped: {error}"))
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -54,7 +54,7 @@
 const COME_BACK: Duration = Duration::from_millis(500);
 /// hyper's buffer for what a caller sends: beyond a head, it only makes bodies come in larger pieces.
 const READ_BUFFER: usize = 2 * MOST_HEAD;
-/// Added to the longest deadline, so long may answers take after the last connection was taken.
+/// Added to the longest deadline or the patience, so long may answers take after the last connection was taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(60);
 
 /// What all connections share.
@@ -72,8 +72,10 @@
     budget: Arc<Budget>,
     /// A caller's connection has ended.
     left: Notify,
-    /// Another process takes the new connections: each answer is the last on its own.
-    handed_over: AtomicBool,
+    /// Another process takes the new connections, or nobody does: each answer is the last on its own.
+    leaving: AtomicBool,
+    /// The answer to what comes now might come too late: it is refused.
+    refusing: AtomicBool,
 }
 
 /// A caller's connection.
@@ -112,7 +114,7 @@
                 false => self.server.reply(request, &self.caller.line).await,
             };
             let mut seen = lock(&self.caller.line.seen);
-            if seen.is_last() || seen.both_lengths() || self.server.handed_over.load(Ordering::Relaxed) {
+            if seen.is_last() || seen.both_lengths() || self.server.leaving.load(Ordering::Relaxed) {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             if reply.body().is_whole() {
@@ -129,7 +131,17 @@
             biased; // a request that has come is read before its connection is closed between requests
             _ = connection.as_mut() => return,
             () = self.caller.cut.notified() => return,
-            _ = closing.wait_for(|close| *close) => {}
+            () = async { drop(closing.wait_for(|close| *close).await) } => {
+                // One that has begun to come gets its answer, and with that the connection ends.
+                while self.caller.line.expects(NEWLY) {
+                    tokio::select! {
+                        biased;
+                        _ = connection.as_mut() => return,
+                        () = self.caller.cut.notified() => return,
+                        () = sleep(LOOK_EVERY / 10) => {}
+                    }
+                }
+            }
             () = self.caller.close.notified() => {}
         }
         connection.as_mut().graceful_shutdown();
@@ -171,7 +183,8 @@
             open: Arc::default(),
             budget,
             left: Notify::new(),
-            handed_over: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
         }
     }
 
@@ -205,7 +218,7 @@
             // The next process takes what waits in the backlog. The callers we have may be writing just now:
             // they are sent to it one by one, with their answers.
             drop(listener);
-            server.handed_over.store(true, Ordering::Relaxed);
+            server.leaving.store(true, Ordering::Relaxed);
             timeout(server.go_on(), server.all_left()).await.ok();
         } else {
             // What waits in the backlog counts as taken, and closing the listener would reset it.
@@ -217,9 +230,12 @@
             timeout(10 * LAST_LOOK, rest).await.ok();
             drop(listener);
         }
+        server.leaving.store(true, Ordering::Relaxed);
         close.send_replace(true);
-        let longest = longest_deadline(&server.config.settings);
-        timeout(Duration::from_nanos(longest) + LAST_ANSWERS, server.all_left()).await.ok();
+        timeout(10 * LAST_LOOK, server.all_left()).await.ok(); // what was just taken still has its time
+        server.refusing.store(true, Ordering::Relaxed);
+        let longest = Duration::from_nanos(longest_deadline(&server.config.settings));
+        timeout(longest.max(PATIENCE + LOOK_EVERY) + LAST_ANSWERS, server.all_left()).await.ok();
         looking.abort();
     }
 
@@ -369,6 +385,10 @@
             Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
+        if self.refusing.load(Ordering::Relaxed) {
+            self.counters.count(asked.class, End::Busy);
+            return Ok(refusal(COME_BACK));
+        }
         end_to_end(&mut head.headers);
         let mut held = Held { seen: None, _taken: None, _named: named, _room: room };
         let (rest, came) = if whole { (None, None) } else { Some(Rest::new(body)).unzip() };
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -237,3 +237,89 @@
         upstream.closed();
     }
 }
+
+// ---- A signal to stop ----
+
+/// A balancer that takes no more than 0.7 s from the signal until it closes connections: its kill may come 1.1 s after.
+fn short_lived(upstream: std::net::SocketAddr) -> serde_json::Value {
+    let mut config = alone_at(upstream, refusing(), true);
+    for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+        class["AimNs"] = 300_000_000_u64.into();
+        class["DeadlineNs"] = 400_000_000_u64.into();
+        class["LateWorth"] = 0.0.into();
+    }
+    config
+}
+
+/// Guards requests that have begun to come when connections are closed: each gets a final answer, and with it the
+/// end of its connection; what comes too late to be served before the kill is refused.
+#[test]
+fn a_request_half_read_when_connections_are_closed_gets_its_answer() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    for (cut, part) in [(7, "its head"), (request("pay", "0.4", "a body").len() - 3, "its body")] {
+        let program = Program::start(&short_lived(upstream.address));
+        let (mut idle, mut begun) = (program.connect(), program.connect());
+        assert_eq!(idle.call("look", "0.4", "").unwrap().status(), 200);
+        assert_eq!(begun.call("look", "0.4", "").unwrap().status(), 200);
+        let whole = request("pay", "0.4", "a body");
+        begun.write(&whole[..cut]);
+        program.terminate();
+        assert!(idle.answer().is_none(), "connections are closed between requests");
+        std::thread::sleep(SECOND); // beyond what is still served
+        upstream.requests();
+        begun.write(&whole[cut..]);
+        let answer = begun.answer().unwrap_or_else(|| panic!("no answer to one half read in {part}"));
+        assert_eq!((answer.status(), &answer.headers["connection"][..]), (503, "close"));
+        assert!(begun.answer().is_none());
+        assert_eq!(upstream.requests(), 0);
+        assert!(program.end().0.success());
+    }
+}
+
+/// Guards against a request that a balancer closes its connection on, as the runtime had not heard of it yet.
+#[test]
+fn requests_in_the_backlog_at_the_signal_are_answered() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let program = Program::start(&short_lived(upstream.address));
+    let mut open = program.connect();
+    assert_eq!(open.call("look", "0.4", "").unwrap().status(), 200);
+    program.pause();
+    program.terminate();
+    let mut waiting: Vec<Caller> = (0..50).map(|_| program.connect()).collect();
+    waiting.push(open);
+    waiting.iter_mut().for_each(|caller| caller.send("look", "60", ""));
+    std::thread::sleep(SECOND); // all of the time for which callers are served
+    program.go_on();
+    for caller in &mut waiting {
+        assert!([200, 503].contains(&caller.answer().expect("a final answer").status()));
+    }
+    assert!(program.end().0.success());
+}
+
+/// Guards the list during the last requests: discovery may move while they are served, and a second signal to stop
+/// changes nothing.
+#[test]
+fn follows_a_hangup_after_the_signal_to_stop() {
+    let (old, new) =
+        (Upstream::start(|_| Act::Answer(ok("old"))), Upstream::start(|_| Act::Answer(ok("new"))));
+    let (first, second) = (Discovery::start(), Discovery::start());
+    let mut settings = config(first.address, &in_service(&[&old]));
+    for class in settings["settings"]["Classes"].as_array_mut().unwrap() {
+        class["AimNs"] = 100_000_000_u64.into();
+        class["DeadlineNs"] = 60_000_000_000_u64.into();
+        class["LateWorth"] = 0.0.into();
+    }
+    let program = Program::start(&settings);
+    first.publish(&in_service(&[&old]));
+    let mut caller = program.connect();
+    assert_eq!(caller.call("look", LONG, "").unwrap().body, b"old");
+    program.terminate();
+    settings["discovery"] = second.address.to_string().into();
+    second.set(&[target("s-new", new.address, "in_service")]);
+    program.reload(&settings.to_string());
+    program.terminate();
+    second.watched();
+    assert_eq!(caller.call("look", LONG, "").unwrap().body, b"new");
+    assert!(caller.answer().is_none());
+    assert!(program.end().0.success());
+}
