Count connections that come up as open, and tell upstreams the time left when they are written to

And where a connection takes 0.4 s to come up, its upstream is told a time that is too long by that.

Cause: a connection was counted once it was there (`Connection::open` in src/net/upstream.rs), so that nothing bounded those that come up. X-Budget was worked out at the pick (`forwarded` in src/net/driver.rs).

Now what an attempt goes on is an idle connection or a slot, taken before the connect and given back in `Drop`, also where the attempt is dropped while it waits. The budget is written with the request.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,7 +6,7 @@
 use super::counters::{self, Counters};
 use super::discovery::{Listing, State, Target};
 use super::handover::{Bans, Shared};
-use super::upstream::{Begun, Connection, Exchanged, Finished, Idle, Means, exchange};
+use super::upstream::{Begun, Exchanged, Finished, Idle, Link, Means, exchange};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use std::cmp::Reverse;
@@ -542,11 +542,8 @@
         let possible = open.answer.is_some() && in_time && !open.request.body().is_spent();
         let target = upstream.filter(|_| possible).and_then(|upstream| Some((upstream, upstream.address?)));
         let Some((upstream, address)) = target else { return self.not_sent(id, number) };
-        let idle = self.idle.take(server);
-        if idle.is_none() && !self.idle.make_room() {
-            return self.not_sent(id, number);
-        }
-        let request = forwarded(&open.request, address, until - now);
+        let Some(link) = self.idle.link(server) else { return self.not_sent(id, number) };
+        let request = forwarded(&open.request, address);
         let (cancel, cancelled) = oneshot::channel::<()>();
         let under_way = Arc::new(AtomicBool::new(false));
         let mark = under_way.clone();
@@ -563,8 +560,10 @@
         let expiry = expiry(self.clock.instant(until), rest.map(|rest| (open.whole.subscribe(), rest)));
         let inputs = self.inputs.clone();
         let tally = Some(self.counters.attempts());
-        let exchange =
-            exchange(request, Means { under_way: mark.clone(), ..self.means(idle, address, tally) });
+        let exchange = exchange(
+            request,
+            Means { under_way: mark.clone(), ..self.means(link, address, self.clock.instant(until), tally) },
+        );
         tokio::spawn(async move {
             let unless_sent = |outcome, unsent| if mark.load(Ordering::Relaxed) { outcome } else { unsent };
             let exchanged = tokio::select! {
@@ -581,12 +580,12 @@
         });
     }
 
-    fn means(&self, idle: Option<Connection>, address: SocketAddr, tally: Option<Arc<AtomicU64>>) -> Means {
+    fn means(&self, link: Link, address: SocketAddr, until: Instant, tally: Option<Arc<AtomicU64>>) -> Means {
         Means {
-            idle,
+            link,
             address,
             connect_timeout: self.config.names.connect_timeout,
-            open: self.idle.open(),
+            until,
             tally,
             budget: self.budget.clone(),
             under_way: Arc::default(),
@@ -669,14 +668,11 @@
 
     fn probe(&mut self, server: ServerId) {
         let Some(address) = self.servers.get(&server).and_then(|upstream| upstream.address) else { return };
-        let idle = self.idle.take(server);
-        if idle.is_none() && !self.idle.make_room() {
-            return; // the module does not wait for a probe's end
-        }
+        let Some(link) = self.idle.link(server) else { return }; // the module does not wait for a probe's end
         let mut request = Request::new(Payload::default());
         *request.uri_mut() = Uri::from_static("/load");
-        let request = forwarded(&request, address, PROBE_PATIENCE.as_nanos() as Time);
-        let exchange = exchange(request, self.means(idle, address, None));
+        let request = forwarded(&request, address);
+        let exchange = exchange(request, self.means(link, address, Instant::now() + PROBE_PATIENCE, None));
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
             let finished = match timeout(PROBE_PATIENCE, exchange).await {
@@ -758,16 +754,14 @@
     }
 }
 
-/// The request as an upstream gets it: as it came, but for the budget, and in the form for an origin.
-fn forwarded(request: &Request<Payload>, address: SocketAddr, left: Time) -> Request<Payload> {
+/// The request as an upstream gets it: as it came, in the form for an origin.
+fn forwarded(request: &Request<Payload>, address: SocketAddr) -> Request<Payload> {
     let mut request = request.clone();
     *request.version_mut() = Version::HTTP_11;
     if let Some(path) = request.uri().path_and_query().filter(|_| request.uri().authority().is_some()) {
         *request.uri_mut() = path.clone().into();
     }
     let headers = request.headers_mut();
-    let budget = format!("{:.6}", left as f64 / 1e9);
-    headers.insert("x-budget", HeaderValue::from_str(&budget).unwrap_or(HeaderValue::from_static("0")));
     if !headers.contains_key(HOST) {
         let host = HeaderValue::from_str(&address.to_string());
         headers.insert(HOST, host.unwrap_or(HeaderValue::from_static("upstream")));
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -65,11 +66,11 @@
 
 /// What an attempt needs beside its request.
 pub struct Means {
-    pub idle: Option<Connection>,
+    pub link: Link,
     pub address: SocketAddr,
     pub connect_timeout: Duration,
-    /// Counts the connections that are open.
-    pub open: Arc<AtomicUsize>,
+    /// How long the answer is waited for.
+    pub until: Instant,
     /// Counts the attempts that are written whole.
     pub tally: Option<Arc<AtomicU64>>,
     pub budget: Arc<Budget>,
@@ -77,17 +78,44 @@
     pub under_way: Arc<AtomicBool>,
 }
 
+/// What an attempt is sent on.
+pub enum Link {
+    Idle(Connection),
+    New(Slot),
+}
+
+/// A connection that is open, or coming up; it counts until this is dropped.
+pub struct Slot(Arc<AtomicUsize>);
+
+impl Slot {
+    fn take(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Sends a request on a connection, or on a new one, and waits for its whole answer, or for enough of a long one.
-pub async fn exchange(request: Request<Payload>, means: Means) -> Exchanged {
-    let mut connection = match means.idle {
-        Some(connection) => connection,
-        None => match timeout(means.connect_timeout, Connection::open(means.address, means.open)).await {
-            Ok(Ok(connection)) => connection,
-            // Our own lack of descriptors or ports says nothing of the upstream.
-            Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
-            Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
-        },
+pub async fn exchange(mut request: Request<Payload>, means: Means) -> Exchanged {
+    let mut connection = match means.link {
+        Link::Idle(connection) => connection,
+        Link::New(slot) => {
+            match timeout(means.connect_timeout, Connection::open(means.address, slot)).await {
+                Ok(Ok(connection)) => connection,
+                // Our own lack of descriptors or ports says nothing of the upstream.
+                Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
+                Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
+            }
+        }
     };
+    let left = means.until.saturating_duration_since(Instant::now());
+    let left = HeaderValue::from_str(&format!("{:.6}", left.as_secs_f64()));
+    request.headers_mut().insert("x-budget", left.unwrap_or(HeaderValue::from_static("0")));
     means.under_way.store(true, Ordering::Relaxed);
     let progress = connection.progress.clone();
     progress.body_taken.store(false, Ordering::Relaxed);
@@ -152,11 +180,11 @@
     tcp: Arc<TcpStream>,
     progress: Arc<Progress>,
     task: AbortHandle,
-    open: Arc<AtomicUsize>,
+    _slot: Slot,
 }
 
 impl Connection {
-    async fn open(address: SocketAddr, open: Arc<AtomicUsize>) -> io::Result<Self> {
+    async fn open(address: SocketAddr, slot: Slot) -> io::Result<Self> {
         let tcp = TcpStream::connect(address).await?;
         tcp.set_nodelay(true)?;
         let (tcp, progress) = (Arc::new(tcp), Arc::new(Progress::default()));
@@ -165,8 +193,7 @@
         let builder = builder.max_buf_size(READ_BUFFER);
         let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(connection).abort_handle();
-        open.fetch_add(1, Ordering::Relaxed);
-        Ok(Self { sender, tcp, progress, task, open })
+        Ok(Self { sender, tcp, progress, task, _slot: slot })
     }
 
     /// The connection after its answer: ready again unless its upstream closes it, which it has said by now, or is
@@ -189,7 +216,6 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
-        self.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -304,20 +330,14 @@
         while self.open.load(Ordering::Relaxed) > most && self.close_oldest() {}
     }
 
-    /// Counts all connections that are open.
-    pub fn open(&self) -> Arc<AtomicUsize> {
-        self.open.clone()
-    }
-
-    /// The latest used connection to an upstream that is sound.
-    pub fn take(&mut self, server: ServerId) -> Option<Connection> {
-        let idle = self.idle.get_mut(&server)?;
-        while let Some((since, connection)) = idle.pop() {
+    /// What an attempt at an upstream goes on: the latest used connection that is sound, or a new one if there is room.
+    pub fn link(&mut self, server: ServerId) -> Option<Link> {
+        while let Some((since, connection)) = self.idle.get_mut(&server).and_then(Vec::pop) {
             if since.elapsed() < self.keep && connection.is_quiet() {
-                return Some(connection);
+                return Some(Link::Idle(connection));
             }
         }
-        None
+        self.make_room().then(|| Link::New(Slot::take(&self.open)))
     }
 
     /// Keeps a connection for the next attempt.
@@ -344,7 +364,7 @@
     }
 
     /// Whether one more connection may be opened, after closing the one idle for longest if need be.
-    pub fn make_room(&mut self) -> bool {
+    fn make_room(&mut self) -> bool {
         let full = |idle: &Self| idle.open.load(Ordering::Relaxed) >= idle.most;
         if full(self) {
             self.close_oldest();
@@ -383,10 +403,10 @@
             stream
         });
         let means = Means {
-            idle: None,
+            link: Link::New(Slot::take(&Arc::default())),
             address,
             connect_timeout: Duration::from_secs(30),
-            open: Arc::default(),
+            until: Instant::now() + Duration::from_secs(30),
             tally: None,
             budget: Budget::new(1 << 20),
             under_way: Arc::default(),
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -323,3 +323,26 @@
     assert!(caller.answer().is_none());
     assert!(program.end().0.success());
 }
+
+// ---- Connections to upstreams ----
+
+/// Guards the limit of descriptors: a connection that is coming up holds one like any other.
+#[test]
+fn connections_that_come_up_count_as_open() {
+    let crowded = Crowded::open();
+    let mut config = alone_at(crowded.address, refusing(), true);
+    config["limits"]["sockets"] = 150.into(); // room for 50 connections to upstreams and 68 callers
+    let program = Program::start(&config);
+    let mut callers: Vec<Caller> = (0..60).map(|_| program.connect()).collect();
+    callers[..50].iter_mut().for_each(|caller| caller.send("post", LONG, "b"));
+    crowded.wait_for(50);
+    for caller in &mut callers[50..] {
+        let answer = caller.call("post", LONG, "b").expect("an answer");
+        assert_eq!(answer.status(), 503, "there is no room");
+    }
+    callers.drain(..10).for_each(|caller| caller.leave(Leave::Rst));
+    crowded.wait_for(40);
+    let mut later: Vec<Caller> = (0..10).map(|_| program.connect()).collect();
+    later.iter_mut().for_each(|caller| caller.send("post", LONG, "b"));
+    crowded.wait_for(50); // their room was given back
+}
