Take back the breaking off of answers of unknown length at their request's time

Cause: the change broke an answer of unknown length off at its request's time while under 64 KiB had come. A long answer whose caller or upstream takes seconds over a piece has brought less by then, and cannot be told from one without an end.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -242,9 +242,6 @@
     body: Incoming,
     connection: Option<Connection>,
     stall: Pin<Box<Sleep>>,
-    /// When the answer has to have ended, and how much more may come before it counts as a long one, whose end has
-    /// no time.
-    until: Option<(Instant, usize)>,
     /// Is told how the attempt ended.
     report: Option<Report>,
     _room: Option<Room>,
@@ -259,25 +256,17 @@
 }
 
 impl Reply {
-    /// The start of a body, and the rest of it as it comes over a connection, until the time of its request ends
-    /// unless it is a long one by then. `report` is told of its end.
+    /// The start of a body, and the rest of it as it comes over a connection. `report` is told of its end.
     pub fn passing(
         kept: Bytes,
-        (body, connection, room): (Incoming, Connection, Option<Room>),
-        until: Option<Instant>,
+        body: Incoming,
+        connection: Connection,
+        room: Option<Room>,
         report: Report,
     ) -> Self {
-        let size = body.size_hint().lower().saturating_add(kept.len() as u64);
-        let more = MOST_KEPT.checked_sub(kept.len()).filter(|_| size <= MOST_KEPT as u64);
-        let mut passing = Passing {
-            body,
-            connection: Some(connection),
-            stall: Box::pin(sleep(STALL)),
-            until: until.zip(more),
-            report: Some(report),
-            _room: room,
-        };
-        passing.wait();
+        let stall = Box::pin(sleep(STALL));
+        let passing =
+            Passing { body, connection: Some(connection), stall, report: Some(report), _room: room };
         Self { passing: Some(Box::new(passing)), ..Self::from(kept) }
     }
 
@@ -298,12 +287,6 @@
 }
 
 impl Passing {
-    /// Waits for the next piece, for so long.
-    fn wait(&mut self) {
-        let stalled = Instant::now() + STALL;
-        self.stall.as_mut().reset(self.until.map_or(stalled, |(until, _)| stalled.min(until)));
-    }
-
     /// The upstream has given all; its connection is free once it says nothing against that.
     fn done(&mut self) {
         if let (Some(report), Some(connection)) = (self.report.take(), self.connection.take()) {
@@ -324,16 +307,10 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
         loop {
-            // One that comes in ever more pieces is never found waiting.
-            if self.until.is_some_and(|(until, _)| until <= Instant::now()) {
-                return Poll::Ready(Some(Err(self.broken(Outcome::Timeout))));
-            }
             return match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue }; // trailers end here
-                    self.until =
-                        self.until.and_then(|(until, more)| Some((until, more.checked_sub(data.len())?)));
-                    self.wait();
+                    self.stall.as_mut().reset(Instant::now() + STALL);
                     if self.body.is_end_stream() {
                         self.done(); // whoever knows the length does not ask for more
                     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -601,10 +601,8 @@
         self.pending.push_back((id, end));
     }
 
-    /// The answer is passed on as it comes: of a long one, no time of its request runs any more.
+    /// The answer is passed on as it comes: no time of its request runs any more.
     fn on_begun(&mut self, id: RequestId, number: u32, begun: Begun) {
-        let deadline = self.requests.get(&id).and_then(|open| open.deadline);
-        let until = deadline.map(|deadline| self.clock.instant(deadline));
         let Some((sender, _)) = self.take_answer(id) else {
             return self.on_ended(id, number, Outcome::Cancelled.into());
         };
@@ -616,8 +614,7 @@
             inputs.send(Input::Ended(id, number, finished)).ok();
         });
         let Begun { head, body, connection, room } = begun;
-        let answer =
-            Answer::Served(head.map(|kept| Reply::passing(kept, (body, connection, room), until, report)));
+        let answer = Answer::Served(head.map(|kept| Reply::passing(kept, body, connection, room, report)));
         if let Some(out) = out {
             out.begun = Some((answer.end(), load));
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,9 +4,6 @@
 mod common;
 
 use common::process::*;
-use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A configuration in which lists are asked for, or pushed.
@@ -211,33 +208,6 @@
     assert_eq!(upstream.request().body, b"later");
 }
 
-// ---- Answers ----
-
-/// Guards callers: a final answer is owed by the time of a request, and one that never ends is none.
-#[test]
-fn an_answer_without_an_end_is_broken_off_at_the_time_of_its_request() {
-    let begun = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n";
-    let silent = move |stream: &mut TcpStream| {
-        stream.write_all(begun.as_bytes()).unwrap();
-        stream.read_to_end(&mut Vec::new()).ok(); // until it is given up
-    };
-    let dribbling = move |stream: &mut TcpStream| {
-        stream.write_all(begun.as_bytes()).unwrap();
-        while stream.write_all(b"1\r\nx\r\n").is_ok() {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    };
-    for act in [Act::Do(Arc::new(silent)), Act::Do(Arc::new(dribbling))] {
-        let upstream = Upstream::start(move |_| act.clone());
-        let program = Program::start(&alone_at(upstream.address, refusing(), true));
-        let mut caller = program.connect();
-        let asked = Instant::now();
-        assert!(caller.call("look", "1.0", "").is_none(), "its caller sees that it is not whole");
-        assert!(asked.elapsed() >= SECOND && asked.elapsed() < 4 * SECOND, "after {:?}", asked.elapsed());
-        upstream.closed();
-    }
-}
-
 // ---- A signal to stop ----
 
 /// A balancer that takes no more than 0.7 s from the signal until it closes connections: its kill may come 1.1 s after.
