Play 870 balancers at the return of discovery, and say how soon lists are told

What the spread gives at 870 balancers was written nowhere, and no test held discovery's load at its return.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -827,3 +827,40 @@
     assert!(most_in_step(failed[0].clone()) < FLEET / 3, "at the first failure");
     assert!(most_in_step(failed[11].clone()) < FLEET / 8, "in an outage");
 }
+
+/// What a fleet of balancers asks of one discovery service, in windows of a tenth of a second, from its return on:
+/// it was away for so long, and each call to it took so long to fail. All watches break as it goes.
+fn calls_at_the_return(fleet: u64, away: u64, fails_after: u64) -> Vec<usize> {
+    let settings = Settings { ask_discovery: true, siblings: fleet as u32, ..settings() };
+    let mut calls = Vec::new();
+    for seed in 0..fleet {
+        let balancer = woadstall::Balancer::new(settings.clone(), seed, SECOND).unwrap();
+        let mut rig = Rig { balancer, now: SECOND, next_id: 0 };
+        asks_within(&mut rig, Event::List(&zones(1, 2)));
+        let back = rig.now + away;
+        loop {
+            rig.now += asks_within(&mut rig, Event::ListFailed);
+            if rig.now >= back {
+                break;
+            }
+            rig.now += fails_after;
+        }
+        let window = ((rig.now - back) / (100 * MS)) as usize;
+        calls.resize(calls.len().max(window + 1), 0);
+        calls[window] += 1;
+    }
+    calls
+}
+
+/// Guards discovery at its return: it must not find all balancers at its door, whether it refused calls or hung.
+#[test]
+fn a_fleet_comes_back_to_discovery_in_no_step() {
+    for away in [2, 8, 60].map(|seconds| seconds * SECOND) {
+        for fails_after in [0, SECOND] {
+            let calls = calls_at_the_return(870, away, fails_after);
+            assert_eq!(calls.iter().sum::<usize>(), 870);
+            assert!(calls.len() <= 26, "told within 2.6 s: {calls:?}");
+            assert!(calls.iter().all(|&calls| calls < 870 / 5), "{calls:?}");
+        }
+    }
+}
