Answer discovery's stand-in again where an answer came after the call was given up

On a machine with a load of 40 on 8 cores a test's answer may come after the balancer has given the call up; the stand-in then waited for a watch that never came. It answers the next call now; the time within which the list has to be told stays as strict.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -555,10 +555,20 @@
         Message::read(&mut self.input).expect("a message")
     }
 
+    /// The next message; `None` where the peer closes or breaks the connection first.
+    pub fn try_read(&mut self) -> Option<Message> {
+        Message::read(&mut self.input)
+    }
+
     pub fn write(&mut self, text: &str) {
         self.input.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Writes as far as the peer still listens.
+    pub fn try_write(&mut self, text: &str) {
+        self.input.get_mut().write_all(text.as_bytes()).ok();
+    }
+
     /// Closes it, whoever else holds a copy.
     pub fn close(&self) {
         self.input.get_ref().shutdown(Shutdown::Both).ok();
