--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -364,7 +364,11 @@
         if line.try_read().is_some() {
             return call;
         }
-        eprintln!("not taken: {}, written after {written:?}, over after {:?}", call.first_line, asked.elapsed());
+        eprintln!(
+            "not taken: {}, written after {written:?}, over after {:?}",
+            call.first_line,
+            asked.elapsed()
+        );
     }
 }
 
