--- a/src/policy.rs
+++ b/src/policy.rs
@@ -83,11 +83,11 @@
 const SHED_MOST: f64 = 0.9;
 /// Time over which call rates are averaged: a few calls at the smallest balancer.
 const RATE_WINDOW: Duration = 5 * SECOND;
-/// First subscriptions are spread over this much for each sibling, up to a cap: discovery's capacity is fixed.
-/// The cap leaves time for two calls that fail before what came during the start counts as told, after 6 s.
+/// First subscriptions are spread over this much for each sibling: discovery's capacity is fixed. The cap
+/// leaves time for two calls that fail, until what came during the start counts as told after 6 s.
 const WATCH_SPACING: (Duration, Duration) = (SECOND / 10, 2 * SECOND);
-/// First wait before a failed subscription is tried again, doubling up to a cap. A silent call, two waits, a connect
-/// that hangs and the answer fit into the 6 s after which a change counts as told: docs/design.md has the sum.
+/// First wait before a failed subscription is tried again, doubling up to a cap. It is in the sums of
+/// docs/design.md, which have to stay under the 6 s after which a change counts as told.
 const WATCH_BACKOFF: (Duration, Duration) = (7 * SECOND / 20, 3 * SECOND / 2);
 const WATCH_TOKEN: u64 = u64::MAX;
 /// Servers that are asked for their load before a call is sent.
