Make long test bodies before their callers connect, so that none is cut for saying nothing

Cause: an_upstream_that_stops_reading_.. made 30 MB of noise after its head was written. On a busy machine that took longer than a caller may be silent (2.5 s), the balancer cut it before 64 KiB had come, nobody connected to the upstream, and accept waited for ever: seen by the threads and sockets of a suite that hung for 18 minutes. What is asserted stays.

--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -230,11 +230,11 @@
     let targets =
         [target("s-0", breaking.address, "in_service"), target("s-1", breaking.address, "in_service")];
     let program = Program::start(&config(refusing(), &targets));
+    let body = noise(4 << 20);
     let mut caller = program.connect();
-    let text = head("pay", &format!("Content-Length: {}\r\n", 4 << 20));
-    caller.write(&text);
+    caller.write(&head("pay", &format!("Content-Length: {}\r\n", body.len())));
     let mut output = caller.input.get_ref().try_clone().unwrap();
-    let writing = std::thread::spawn(move || output.write_all(&noise(4 << 20)).is_ok());
+    let writing = std::thread::spawn(move || output.write_all(&body).is_ok());
     let answer = caller.answer().expect("an answer");
     assert!([502, 503].contains(&answer.status()), "{}", answer.status());
     assert_eq!(breaking.connections.lock().unwrap().len(), 1, "one attempt");
@@ -248,10 +248,11 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let targets = [target("s-0", listener.local_addr().unwrap(), "in_service")];
     let program = Program::start(&config(refusing(), &targets));
+    let body = noise(30 << 20); // made before the connection is, on which its caller is cut if it says nothing
     let mut caller = program.connect();
-    caller.write(&head("post", &format!("Content-Length: {}\r\n", 30 << 20)));
+    caller.write(&head("post", &format!("Content-Length: {}\r\n", body.len())));
     let mut output = caller.input.get_ref().try_clone().unwrap();
-    let writing = std::thread::spawn(move || output.write_all(&noise(30 << 20)).is_ok());
+    let writing = std::thread::spawn(move || output.write_all(&body).is_ok());
     let _unread = listener.accept().unwrap();
     assert_eq!(caller.answer().expect("an answer").status(), 502);
     drop(caller);
