Keep the descriptors' limit at the operators' door and in the last backlog

Cause: the door aborted a connection to make room, but took the next ones in the same turn, before the aborted task had let its descriptor go (admin.rs, serve). Ruled out by count: 10 own descriptors (standard streams, listener, runtime, signals) and 2 of discovery lie within the 16 kept. At the end of serving, the backlog was taken without regard to the limit of callers (server.rs, run): where the kernel refused, the rest was reset.

Change: the door waits for the aborted task's end; the last backlog waits for room like every other.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch};
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 /// Connections held at a time.
@@ -76,7 +76,7 @@
 
 /// A connection, and whether its call has come.
 struct Held {
-    task: AbortHandle,
+    task: JoinHandle<()>,
     asked: Arc<AtomicBool>,
 }
 
@@ -89,10 +89,13 @@
                 if held.len() >= MOST_CONNECTIONS {
                     // The one that has kept its call to itself for longest makes room for a caller.
                     let silent = held.iter().position(|held| !held.asked.load(Ordering::Relaxed));
-                    held.remove(silent.unwrap_or(0)).inspect(|held| held.task.abort());
+                    if let Some(Held { task, .. }) = held.remove(silent.unwrap_or(0)) {
+                        task.abort();
+                        task.await.ok(); // its descriptor is free with this, not before
+                    }
                 }
                 let asked = Arc::new(AtomicBool::new(false));
-                let task = tokio::spawn(connection(tcp, door.clone(), asked.clone())).abort_handle();
+                let task = tokio::spawn(connection(tcp, door.clone(), asked.clone()));
                 held.push_back(Held { task, asked });
             }
             Err(error) => {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -223,7 +223,9 @@
         } else {
             // What waits in the backlog counts as taken, and closing the listener would reset it.
             let rest = async {
-                while let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await {
+                loop {
+                    server.has_room().await;
+                    let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await else { return };
                     server.take(tcp, &closing);
                 }
             };
@@ -264,13 +266,8 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
-        let most = self.config.limits.callers;
         loop {
-            // The surplus is refused at once and the silent are sent away, so there is soon room again.
-            while self.count() >= most + SURPLUS {
-                self.close_idle();
-                self.left.notified().await;
-            }
+            self.has_room().await;
             match listener.accept().await {
                 Ok((tcp, _)) => self.take(tcp, closing),
                 Err(error) => {
@@ -285,6 +282,15 @@
         }
     }
 
+    /// Waits until one more connection may be taken. The surplus is refused at once and the silent are sent away, so
+    /// that is soon.
+    async fn has_room(&self) {
+        while self.count() >= self.config.limits.callers + SURPLUS {
+            self.close_idle();
+            self.left.notified().await;
+        }
+    }
+
     fn count(&self) -> usize {
         lock(&self.callers).len()
     }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -182,7 +182,10 @@
 
 /// Serves each connection to a free port on a thread of its own, until the test ends.
 fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listen_on(TcpListener::bind("127.0.0.1:0").unwrap(), serve)
+}
+
+fn listen_on(listener: TcpListener, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let address = listener.local_addr().unwrap();
     let serve = Arc::new(serve);
     std::thread::spawn(move || {
@@ -196,11 +199,38 @@
 
 /// An address at which nothing listens, and nothing will: the port stays taken.
 pub fn refusing() -> SocketAddr {
+    let (socket, address) = bound();
+    std::mem::forget(socket);
+    address
+}
+
+/// A socket at which nothing listens yet.
+fn bound() -> (Socket, SocketAddr) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
-    std::mem::forget(socket);
-    address
+    (socket, address)
+}
+
+/// Discovery while it is down: connections to it are refused.
+pub struct Down {
+    pub address: SocketAddr,
+    socket: Socket,
+}
+
+impl Down {
+    pub fn open() -> Self {
+        let (socket, address) = bound();
+        Self { address, socket }
+    }
+
+    /// It is back, and has this list.
+    pub fn back(self, targets: &[String]) -> Discovery {
+        self.socket.listen(128).unwrap();
+        let discovery = Discovery::on(self.socket.into(), "");
+        discovery.set(targets);
+        discovery
+    }
 }
 
 /// A stand-in for discovery.
@@ -217,10 +247,14 @@
 
     /// The first call gets this for an answer and the end of its connection, if it is not empty.
     pub fn start_failing(first: &'static str) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), first)
+    }
+
+    fn on(listener: TcpListener, first: &'static str) -> Self {
         let failed = AtomicBool::new(first.is_empty());
         let state = Arc::new((Mutex::new((1, String::new())), Condvar::new()));
         let (shared, (tell, asked)) = (state.clone(), channel());
-        let address = listen(move |stream| {
+        let address = listen_on(listener, move |stream| {
             let mut output = stream.try_clone().unwrap();
             let mut input = BufReader::new(stream);
             while let Some(message) = Message::read(&mut input) {
@@ -320,7 +354,18 @@
 
     /// Starts it with more in its environment.
     pub fn start_with(config: &serde_json::Value, environment: &[(&str, String)]) -> Self {
-        let (mut child, mut log, config) = spawn(&config.to_string(), environment);
+        Self::start_as(config, &mut Command::new(env!("CARGO_BIN_EXE_woadstall")), environment)
+    }
+
+    /// Starts it where the kernel lets it open no more descriptors than its configuration allows.
+    pub fn start_limited(config: &serde_json::Value) -> Self {
+        let most = config["limits"]["sockets"].to_string();
+        let limited = ["-c", r#"ulimit -n "$0" && exec "$1""#, &most, env!("CARGO_BIN_EXE_woadstall")];
+        Self::start_as(config, Command::new("sh").args(limited), &[])
+    }
+
+    fn start_as(config: &serde_json::Value, command: &mut Command, environment: &[(&str, String)]) -> Self {
+        let (mut child, mut log, config) = spawn(&config.to_string(), command, environment);
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim().rsplit(' ').next().unwrap().parse();
@@ -352,6 +397,17 @@
         eventually("the program stops", state);
     }
 
+    /// Waits until no signal is on its way to it.
+    pub fn has_taken_signals(&self) {
+        let none = || {
+            let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+            let pending =
+                status.lines().filter(|line| line.starts_with("SigPnd") || line.starts_with("ShdPnd"));
+            pending.into_iter().all(|line| line.trim_end().ends_with("\t0000000000000000"))
+        };
+        eventually("signals are taken", none);
+    }
+
     pub fn go_on(&self) {
         self.signal("-CONT");
     }
@@ -387,6 +443,11 @@
         .count()
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// Resident memory, in KiB.
     pub fn memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -430,19 +491,24 @@
 }
 
 pub fn run_to_end_with(config: &str, environment: &[(&str, String)]) -> (ExitStatus, String) {
-    let (mut child, mut log, _) = spawn(config, environment);
+    let command = &mut Command::new(env!("CARGO_BIN_EXE_woadstall"));
+    let (mut child, mut log, _) = spawn(config, command, environment);
     let mut text = String::new();
     log.read_to_string(&mut text).unwrap();
     (child.wait().unwrap(), text)
 }
 
-fn spawn(config: &str, environment: &[(&str, String)]) -> (Child, BufReader<ChildStderr>, PathBuf) {
+fn spawn(
+    config: &str,
+    command: &mut Command,
+    environment: &[(&str, String)],
+) -> (Child, BufReader<ChildStderr>, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
         .join(format!("config-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_woadstall"))
+    let mut child = command
         .env_remove("LB_LISTEN")
         .env_remove("LB_DISCOVERY")
         .env_remove("LB_ADMIN_ADDR")
@@ -493,6 +559,47 @@
     }
 }
 
+/// Idle callers, so many at a time: one that is closed comes again.
+pub struct Crowd(Arc<AtomicBool>);
+
+impl Crowd {
+    /// They say nothing at all, or make one call each and rest.
+    pub fn gather(address: SocketAddr, size: usize, asks: bool) -> Self {
+        const AT_ONCE: usize = 20; // more than are taken beyond the places
+        let (dispersed, mut held) = (Arc::new(AtomicBool::new(false)), Vec::new());
+        let is_over = dispersed.clone();
+        std::thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                held.retain_mut(is_open);
+                for _ in held.len()..size.min(held.len() + AT_ONCE) {
+                    let Ok(mut caller) = TcpStream::connect_timeout(&address, PATIENCE) else { break };
+                    if asks {
+                        caller.write_all(request("look", LONG, "").as_bytes()).ok();
+                    }
+                    caller.set_nonblocking(true).unwrap();
+                    held.push(caller);
+                }
+                std::thread::sleep(Duration::from_millis(10));
+            }
+        });
+        Self(dispersed)
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Whether a connection that does not block goes on; what has come on it is dropped.
+fn is_open(stream: &mut TcpStream) -> bool {
+    match stream.read(&mut [0; 512]) {
+        Ok(got) => got > 0,
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+    }
+}
+
 /// How a caller leaves.
 #[derive(Clone, Copy, Debug)]
 pub enum Leave {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -316,3 +316,27 @@
     later.iter_mut().for_each(|caller| caller.send("post", LONG, "b"));
     crowded.wait_for(50); // their room was given back
 }
+
+// ---- Idle callers that fill the descriptors ----
+
+/// Few descriptors.
+const SOCKETS: usize = 96;
+/// Guards the limit of descriptors at the end: what waits in the backlog is taken and answered within it.
+#[test]
+fn a_backlog_at_the_end_of_serving_is_answered_within_the_descriptors() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let mut config = short_lived(upstream.address);
+    config["limits"]["sockets"] = SOCKETS.into();
+    let program = Program::start_limited(&config);
+    program.terminate();
+    program.has_taken_signals();
+    program.pause();
+    let mut waiting: Vec<Caller> = (0..SOCKETS).map(|_| program.connect()).collect();
+    waiting.iter_mut().for_each(|caller| caller.send("look", "60", ""));
+    std::thread::sleep(SECOND); // beyond what is still served
+    program.go_on();
+    for caller in &mut waiting {
+        assert!([200, 503].contains(&caller.answer().expect("a final answer").status()));
+    }
+    assert!(program.end().0.success());
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -116,6 +116,23 @@
     }
 }
 
+/// Guards the limit of descriptors, which callers and discovery share, against many who come to the door at once.
+#[test]
+fn a_rush_at_the_door_takes_no_more_than_its_descriptors() {
+    let mut config = with_door(refusing(), &[]);
+    config["limits"]["sockets"] = 96.into();
+    let mut program = Program::start_limited(&config);
+    let door = door(&mut program);
+    program.pause();
+    let rush: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(door).unwrap()).collect();
+    program.go_on();
+    counters(door);
+    drop(rush);
+    program.terminate();
+    let (status, log) = program.end();
+    assert!(status.success() && !log.contains("cannot take"), "{log}");
+}
+
 #[test]
 fn figures_are_those_that_peers_see() {
     let upstream = Upstream::start(|message| match message.first_line.split(' ').nth(1).unwrap() {
