See a caller leave within a long body while its attempt waits for a connection

Cause: of a body over 64 KiB nobody reads the rest until the attempt has its connection, so neither hyper nor Line::left saw the end of the caller behind the unread bytes; the request went on waiting for its connect (server.rs, the first select in call), and was sent once that was up. Change: beside that wait, the close of the socket is waited for, which shows by FIN and by RST also behind unread bytes (the runtime's READ_CLOSED, which comes with the interest in urgent data). Not seen still: a caller whose last bytes and FIN don't fit into the socket's buffers, until they are read.

--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -287,6 +287,12 @@
         begun || is_new || idle.is_some() && peeked.is_ok_and(|bytes| bytes > 0)
     }
 
+    /// Waits until the caller of a request that is still coming has closed or reset its connection. That shows also
+    /// while nobody reads what is in front of it; no urgent data is waited for.
+    pub async fn closed(&self) {
+        self.tcp.ready(Interest::PRIORITY).await.ok(); // an error is an end as well
+    }
+
     /// Waits until the caller of a request that has come whole has left. hyper does not look while it holds bytes of
     /// what follows.
     pub async fn left(&self) {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -405,6 +405,7 @@
         let deadline = if whole { has_come() } else { Instant::now() + budget };
         let call = Call { id, request, class, tenant, work, deadline, answer };
         self.driver.send(Input::Called(Box::new(call))).ok();
+        let left = Err((StatusCode::BAD_REQUEST, "the caller has left\n")); // nobody reads this
         let early = match came {
             None => None,
             Some(came) => tokio::select! {
@@ -414,6 +415,8 @@
                     None
                 }
                 answer = &mut answered => Some(answer),
+                // Nobody reads on while an attempt waits for its connection.
+                () = line.closed() => return left,
             },
         };
         let answer = match early {
@@ -421,8 +424,7 @@
             None => tokio::select! {
                 biased;
                 answer = answered => answer,
-                // Nobody reads this; with it the request is given up.
-                () = line.left() => return Err((StatusCode::BAD_REQUEST, "the caller has left\n")),
+                () = line.left() => return left, // with it the request is given up
             },
         };
         owed.0 = None;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -131,6 +131,38 @@
     }
 }
 
+/// Guards upstreams against work that nobody waits for where a body is too long to be kept: nobody reads its rest
+/// during the connect, and the end of its caller stands behind that.
+#[test]
+fn a_request_whose_caller_leaves_within_a_long_body_during_a_connect_is_not_sent_on() {
+    let body = "b".repeat(100_000);
+    let leaves = |cut: usize, way: Leave, may_cancel: bool| {
+        let crowded = Crowded::open();
+        let mut config = alone_at(crowded.address, refusing(), may_cancel);
+        config["settings"]["Limits"]["ConnectTimeoutNs"] = 120_000_000_000_u64.into(); // not by its end
+        let program = Program::start(&config);
+        let mut caller = program.connect();
+        let whole = request("post", LONG, &body);
+        caller.write(&whole[..whole.len() - cut]);
+        crowded.wait_for(1);
+        caller.leave(way);
+        crowded.nobody_waits();
+        let upstream = crowded.let_in(|_| Act::Answer(ok("")));
+        assert_eq!(program.connect().call("post", LONG, "later").unwrap().status(), 200, "{way:?}");
+        let first = upstream.request().body;
+        assert_eq!(first, b"later", "{way:?}, {cut} bytes short, may cancel: {may_cancel}");
+    };
+    let leaves = &leaves;
+    std::thread::scope(|scope| {
+        for may_cancel in [true, false] {
+            let cut_off = [Leave::Fin, Leave::Rst, Leave::After(3)].map(|way| (5, way));
+            for (cut, way) in cut_off.into_iter().chain(WAYS.map(|way| (0, way))) {
+                scope.spawn(move || leaves(cut, way, may_cancel));
+            }
+        }
+    });
+}
+
 /// Guards what may be repeated: an attempt whose connection never came up was never sent, and its caller may come
 /// again.
 #[test]
