Never write a keyed repeat whose connection comes up after its key's window

Cause: the window was checked when a repeat was picked; its connection may come up much later. Lines at fault: harmless and send in policy.rs, which told the driver nothing of the window, and exchange in upstream.rs, which wrote whenever a connection was there.

Change: an attempt carries the time by which it must have begun; the driver gives it up then as never sent.

--- a/src/api.rs
+++ b/src/api.rs
@@ -313,6 +313,8 @@
         server: ServerId,
         /// When the attempt is given up.
         until: Time,
+        /// When it must have begun, or it is never sent: its servers may run a later repeat anew.
+        begin_by: Option<Time>,
     },
     /// Final answer: refused, and trying again is harmless.
     Refuse {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -535,14 +535,15 @@
 
     // ---- Attempts ----
 
-    fn send(&mut self, id: RequestId, server: ServerId, until: Time) {
+    fn send(&mut self, id: RequestId, server: ServerId, until: Time, begin_by: Option<Time>) {
         let now = self.clock.now();
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (number, until) = (open.attempts, open.deadline.map_or(until, |deadline| until.min(deadline)));
         open.attempts += 1;
         let upstream = self.servers.get(&server).copied();
-        let in_time = now < until && number < self.config.settings.max_attempts;
-        let possible = open.answer.is_some() && in_time && !open.request.body().is_spent();
+        let in_time = now < until && begin_by.is_none_or(|end| now < end);
+        let allowed = in_time && number < self.config.settings.max_attempts;
+        let possible = open.answer.is_some() && allowed && !open.request.body().is_spent();
         let target = upstream.filter(|_| possible).and_then(|upstream| Some((upstream, upstream.address?)));
         let Some((upstream, address)) = target else { return self.not_sent(id, number) };
         let Some(link) = self.idle.link(server) else { return self.not_sent(id, number) };
@@ -563,10 +564,9 @@
         let expiry = expiry(self.clock.instant(until), rest.map(|rest| (open.whole.subscribe(), rest)));
         let inputs = self.inputs.clone();
         let tally = Some(self.counters.attempts());
-        let exchange = exchange(
-            request,
-            Means { under_way: mark.clone(), ..self.means(link, address, self.clock.instant(until), tally) },
-        );
+        let begin_by = begin_by.map(|end| self.clock.instant(end));
+        let means = self.means(link, address, self.clock.instant(until), tally);
+        let exchange = exchange(request, Means { under_way: mark.clone(), begin_by, ..means });
         tokio::spawn(async move {
             let unless_sent = |outcome, unsent| if mark.load(Ordering::Relaxed) { outcome } else { unsent };
             let exchanged = tokio::select! {
@@ -589,6 +589,7 @@
             address,
             connect_timeout: self.config.names.connect_timeout,
             until,
+            begin_by: None,
             tally,
             budget: self.budget.clone(),
             under_way: Arc::default(),
@@ -713,7 +714,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, until } => self.send(id, server, until),
+            Action::Send { id, server, until, begin_by } => self.send(id, server, until, begin_by),
             Action::Refuse { id, retry_after } => {
                 self.answer(id, Answer::Refused(Duration::from_nanos(retry_after)));
             }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Duration, Instant, timeout_at};
 use woadstall::api::{Outcome, ServerId};
 
 /// How long the start of a long answer may be held, for a server that breaks off at once to be found out.
@@ -71,6 +71,8 @@
     pub connect_timeout: Duration,
     /// How long the answer is waited for.
     pub until: Instant,
+    /// When it must have begun, or it is never sent.
+    pub begin_by: Option<Instant>,
     /// Counts the attempts that are written whole.
     pub tally: Option<Arc<AtomicU64>>,
     pub budget: Arc<Budget>,
@@ -102,17 +104,24 @@
 
 /// Sends a request on a connection, or on a new one, and waits for its whole answer, or for enough of a long one.
 pub async fn exchange(mut request: Request<Payload>, means: Means) -> Exchanged {
+    let is_late = || means.begin_by.is_some_and(|end| Instant::now() >= end);
     let mut connection = match means.link {
         Link::Idle(connection) => connection,
         Link::New(slot) => {
-            match timeout(means.connect_timeout, Connection::open(means.address, slot)).await {
+            let end = Instant::now() + means.connect_timeout;
+            let end = means.begin_by.map_or(end, |begin_by| begin_by.min(end));
+            match timeout_at(end, Connection::open(means.address, slot)).await {
                 Ok(Ok(connection)) => connection,
                 // Our own lack of descriptors or ports says nothing of the upstream.
                 Ok(Err(error)) if is_local(&error) => return Outcome::Moot.into(),
+                Err(_) if is_late() => return Outcome::Moot.into(), // nor does a time that ran out before its own
                 Ok(Err(_)) | Err(_) => return Outcome::ConnectFailed.into(),
             }
         }
     };
+    if is_late() {
+        return Outcome::Moot.into();
+    }
     let left = means.until.saturating_duration_since(Instant::now());
     let left = HeaderValue::from_str(&format!("{:.6}", left.as_secs_f64()));
     request.headers_mut().insert("x-budget", left.unwrap_or(HeaderValue::from_static("0")));
@@ -407,6 +416,7 @@
             address,
             connect_timeout: Duration::from_secs(30),
             until: Instant::now() + Duration::from_secs(30),
+            begin_by: None,
             tally: None,
             budget: Budget::new(1 << 20),
             under_way: Arc::default(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -403,7 +403,8 @@
     }
 
     fn send(&mut self, id: RequestId, mut request: Request, at: usize) {
-        let (until, latency) = (self.attempt_limit(&request), &self.classes[request.class]);
+        let (until, begin_by) = (self.attempt_limit(&request), self.window_end(&request));
+        let latency = &self.classes[request.class];
         if latency.calls >= KNOWN && !request.streamed {
             let token = u64::from(request.attempts) << 32 | u64::from(id.0);
             self.actions.push(Action::SetTimer { after: latency.above(LATE_DEVS), token });
@@ -415,7 +416,7 @@
         let server = &mut self.servers[at];
         server.budget -= if warm { 0.0 } else { 1.0 };
         server.breaker.trial |= server.breaker.tripped;
-        self.actions.push(Action::Send { id, server: server.id, until });
+        self.actions.push(Action::Send { id, server: server.id, until, begin_by });
         request.trial = server.breaker.tripped;
         request.sent = Some((at, now));
         request.attempts += 1;
@@ -993,10 +994,15 @@
 
     /// Whether another attempt can do no harm: rule 2, but for the group of servers.
     fn harmless(&self, request: &Request) -> bool {
+        let may_repeat = self.repeatable(request.class) || request.may_have_run.is_none();
+        may_repeat && self.window_end(request).is_none_or(|end| self.now < end)
+    }
+
+    /// Until when the servers drop the repeats of a keyed request that may have run.
+    fn window_end(&self, request: &Request) -> Option<Time> {
         match (self.settings.classes[request.class].effect, request.may_have_run) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, _) => false,
-            (Effect::Keyed(_, window), Some((_, sent))) => self.now < sent.saturating_add(window),
+            (Effect::Keyed(_, window), Some((_, sent))) => Some(sent.saturating_add(window)),
+            _ => None,
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -250,7 +250,7 @@
         match action {
             Action::SetTimer { after, token } => self.record(0, instance, &[after, token]),
             Action::Refuse { id, retry_after } => self.record(1, instance, &[&id.0, retry_after]),
-            Action::Send { id, server, until } => self.record(3, instance, &[&id.0, &server.0, until]),
+            Action::Send { id, server, until, .. } => self.record(3, instance, &[&id.0, &server.0, until]),
             Action::Log(text) => self.text(4, instance, text),
             Action::Fail(id) => self.record(6, instance, &[&id.0]),
             Action::Probe(server) => self.record(10, instance, &[&server.0]),
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,6 +4,8 @@
 mod common;
 
 use common::process::*;
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 /// A configuration in which lists are asked for, or pushed.
@@ -111,6 +113,37 @@
     }
 }
 
+/// Guards the rule on duplicates: a repeat that waits for its connection must not be written once its servers have
+/// forgotten the key.
+#[test]
+fn a_repeat_that_waits_for_a_connection_past_its_window_is_not_sent() {
+    let window = 3 * SECOND;
+    let (release, held) = channel::<()>();
+    let held = Mutex::new(held);
+    let failing = Upstream::start(move |_| {
+        held.lock().unwrap().recv().ok();
+        Act::Answer("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n".into())
+    });
+    let (crowded, discovery) = (Crowded::open(), Discovery::start());
+    let mut config = alone_at(failing.address, discovery.address, true);
+    config["settings"]["Classes"][1]["WindowNs"] = (window.as_nanos() as u64).into();
+    let program = Program::start(&config);
+    let mut caller = program.connect();
+    caller.send("pay", LONG, "b");
+    let begun = Instant::now();
+    failing.request();
+    discovery.publish(&[
+        target("s-0", failing.address, "in_service"),
+        target("s-1", crowded.address, "in_service"),
+    ]);
+    release.send(()).unwrap();
+    crowded.wait_for(1); // the repeat has no connection yet
+    eventually("the end of the window", || begun.elapsed() > window);
+    let upstream = crowded.let_in(|_| Act::Answer(ok("")));
+    assert_eq!(caller.answer().expect("an answer").status(), 502);
+    assert_eq!(upstream.requests(), 0);
+}
+
 /// Guards upstreams against work that nobody waits for, also where attempts that are out must not be cancelled.
 #[test]
 fn a_request_whose_caller_leaves_during_a_connect_is_not_sent_on() {
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -270,7 +270,7 @@
         let life = self.nodes[at].life;
         for action in actions {
             match action {
-                Action::Send { id, server, until } => self.send(at, id, server.0 as usize, until),
+                Action::Send { id, server, until, .. } => self.send(at, id, server.0 as usize, until),
                 Action::SetTimer { after, token } => self.at(now + after, Happening::Timer(at, life, token)),
                 Action::Probe(server) => self.at(now + MS, Happening::Probed(at, life, server.0 as usize)),
                 Action::Cancel { .. } => panic!("no client leaves"),
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -99,7 +99,7 @@
 fn documented_actions_encode() {
     let mut reply = Reply::default();
     let id = RequestId(0x5d3a_91c4);
-    reply.push(3, &Action::Send { id, server: ServerId(0x0312_4a07), until: 8492250000 });
+    reply.push(3, &Action::Send { id, server: ServerId(0x0312_4a07), until: 8492250000, begin_by: None });
     reply.push(3, &Action::SetTimer { after: 500_000_000, token: 0x4d });
     reply.push(5, &Action::Log("two servers known".into()));
     reply.push(3, &Action::Refuse { id: RequestId(0x0e6f_2b19), retry_after: 250_000_000 });
