End the retries of a class where they are futile: they multiplied over depth

Cause: RETRY_BUDGET earned a fifth of a retry for each request, whether a retry ever helped or not, so that each tier of a chain whose last tier fails wholly made 1.2 calls out of one (policy.rs, on_request and may_retry).

Change: a retry of failed work that fails again is futile. Two such in a class end its retries; each answer of the class makes good a fifth of one, and they are forgotten over 30 s, so that a balancer with few calls is not left without. What never ran is retried as before, and so is all else within the budget, which stays.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,8 +71,12 @@
 const CALM: (f64, f64) = (0.05, 0.001);
 /// Weight of a call in its server's slowness: a caller with few calls sees a few a second of each server.
 const SLOW_GAIN: f64 = 0.3;
-/// Retry budget: what a request earns, and the most that is kept. Retries multiply from tier to tier.
+/// Retry budget: what a request earns, and the most that is kept.
 const RETRY_BUDGET: (f64, f64) = (0.2, 10.0);
+/// Futile retries that end those of a class, as retries multiply from tier to tier: one is chance, and each
+/// answer makes good as much as a request earns. And the time over which they are forgotten: a caller with
+/// few calls gets few answers, and all of a deep chain's balancers may then try again.
+const FUTILE: (f64, Duration) = (2.0, 30 * SECOND);
 /// Expected time to an answer, as part of the aim, from which work is shed, and at which all is: above them
 /// the tail of the answers misses it, and below them what is slow by nature would be refused on a calm day.
 const SHED_BETWEEN: (f64, f64) = (0.5, 0.65);
@@ -136,6 +140,8 @@
     failing: f64,
     idle_risk: IdleRisk,
     retry_budget: f64,
+    /// Retries of failed work that failed again, less what answers made good, for each class.
+    futile: Vec<Recent>,
     shed: Shedding,
     /// Whether the own zone was left, and whether work was shed, when last looked at.
     zone_left: bool,
@@ -171,6 +177,7 @@
             failing: 0.0,
             idle_risk: IdleRisk::default(),
             retry_budget: RETRY_BUDGET.1,
+            futile: vec![Recent::default(); settings.classes.len()],
             shed: Shedding {
                 demand: vec![Recent::default(); 2 * settings.classes.len()],
                 tenants: vec![Recent::default(); settings.tenants.len()],
@@ -918,6 +925,12 @@
             let lateness = (took / self.settings.classes[request.class].aim.max(1) as f64).max(least);
             self.pools[self.servers[at].zone].learn_lateness(lateness, self.now, LATE_GAIN, CALM);
         }
+        let futile = match end.outcome {
+            Outcome::Ok => -RETRY_BUDGET.0,
+            Outcome::Error | Outcome::Timeout | Outcome::Reset if request.may_have_run.is_some() => 1.0,
+            _ => 0.0,
+        };
+        self.futile[request.class].add_up_to(FUTILE.0, self.now, futile, FUTILE.1);
         let alive = self.now < self.servers[at].answered_at.saturating_add(ALIVE);
         match end.outcome {
             Outcome::Ok => {
@@ -993,7 +1006,10 @@
             request.deadline.saturating_sub(self.now) as f64 > self.classes[request.class].mean / 2.0;
         // What never ran is bounded too: where nothing can be reached, each call would make all its attempts.
         let attempts_left = request.attempts < self.settings.max_attempts;
-        let granted = harmless && in_time && attempts_left && self.retry_budget >= 1.0;
+        // Where nothing ran, nothing multiplies: a server that restarts says nothing of the next one.
+        let futile = self.futile[request.class].get(self.now, FUTILE.1) > FUTILE.0 - 1.0;
+        let hopeful = request.may_have_run.is_none() || !futile;
+        let granted = harmless && in_time && attempts_left && hopeful && self.retry_budget >= 1.0;
         self.retry_budget -= if granted { 1.0 } else { 0.0 };
         granted
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,6 +224,12 @@
     pub fn add(&mut self, now: Time, amount: f64, window: Duration) {
         (self.sum, self.at) = (self.get(now, window) + amount, now);
     }
+
+    /// Adds or takes off, but the sum stays between nothing and a most.
+    pub fn add_up_to(&mut self, most: f64, now: Time, amount: f64, window: Duration) {
+        self.add(now, amount, window);
+        self.sum = self.sum.clamp(0.0, most);
+    }
 }
 
 /// How often attempts fail, by how long their connection had been idle: step 0 for new or busy ones, each
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A balancer under test, and what every test says to it.
 #![allow(dead_code)]
 
+pub mod chain;
 pub mod process;
 
 use woadstall::Balancer;
