Let a class have as many futile retries as one request may make

Cause: two futile retries, a figure of its own, ended the retries of a first request that may make three (four attempts): tests/mechanism.rs, safe_work_is_retried_elsewhere_within_the_retry_budget and log_lines_tell_what_happens_without_flooding failed with the change before. The tests were right and stay as they are.

Change: the limit comes from max_attempts.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -73,10 +73,9 @@
 const SLOW_GAIN: f64 = 0.3;
 /// Retry budget: what a request earns, and the most that is kept.
 const RETRY_BUDGET: (f64, f64) = (0.2, 10.0);
-/// Futile retries that end those of a class, as retries multiply from tier to tier: one is chance, and each
-/// answer makes good as much as a request earns. And the time over which they are forgotten: a caller with
-/// few calls gets few answers, and all of a deep chain's balancers may then try again.
-const FUTILE: (f64, Duration) = (2.0, 30 * SECOND);
+/// Time over which futile retries are forgotten. As retries multiply from tier to tier, a class gets none after
+/// as many as one request may make: a caller with few calls gets few answers that would make them good.
+const FUTILE_FADE: Duration = 30 * SECOND;
 /// Expected time to an answer, as part of the aim, from which work is shed, and at which all is: above them
 /// the tail of the answers misses it, and below them what is slow by nature would be refused on a calm day.
 const SHED_BETWEEN: (f64, f64) = (0.5, 0.65);
@@ -930,7 +929,8 @@
             Outcome::Error | Outcome::Timeout | Outcome::Reset if request.may_have_run.is_some() => 1.0,
             _ => 0.0,
         };
-        self.futile[request.class].add_up_to(FUTILE.0, self.now, futile, FUTILE.1);
+        let most = f64::from(self.settings.max_attempts - 1);
+        self.futile[request.class].add_up_to(most, self.now, futile, FUTILE_FADE);
         let alive = self.now < self.servers[at].answered_at.saturating_add(ALIVE);
         match end.outcome {
             Outcome::Ok => {
@@ -1007,7 +1007,8 @@
         // What never ran is bounded too: where nothing can be reached, each call would make all its attempts.
         let attempts_left = request.attempts < self.settings.max_attempts;
         // Where nothing ran, nothing multiplies: a server that restarts says nothing of the next one.
-        let futile = self.futile[request.class].get(self.now, FUTILE.1) > FUTILE.0 - 1.0;
+        let room = (f64::from(self.settings.max_attempts) - 2.0).max(0.5); // what fades is never gone
+        let futile = self.futile[request.class].get(self.now, FUTILE_FADE) > room;
         let hopeful = request.may_have_run.is_none() || !futile;
         let granted = harmless && in_time && attempts_left && hopeful && self.retry_budget >= 1.0;
         self.retry_budget -= if granted { 1.0 } else { 0.0 };
