--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1007,7 +1007,7 @@
         // What never ran is bounded too: where nothing can be reached, each call would make all its attempts.
         let attempts_left = request.attempts < self.settings.max_attempts;
         // Where nothing ran, nothing multiplies: a server that restarts says nothing of the next one.
-        let room = (f64::from(self.settings.max_attempts) - 2.0).max(0.5); // what fades is never gone
+        let room = (f64::from(self.settings.max_attempts) - 2.0).max(0.5); // fading never ends
         let futile = self.futile[request.class].get(self.now, FUTILE_FADE) > room;
         let hopeful = request.may_have_run.is_none() || !futile;
         let granted = harmless && in_time && attempts_left && hopeful && self.retry_budget >= 1.0;
