--- a/src/policy.rs
+++ b/src/policy.rs
@@ -73,8 +73,8 @@
 const SLOW_GAIN: f64 = 0.3;
 /// Retry budget: what a request earns, and the most that is kept.
 const RETRY_BUDGET: (f64, f64) = (0.2, 10.0);
-/// Time over which futile retries are forgotten. As retries multiply from tier to tier, a class gets none after
-/// as many as one request may make: a caller with few calls gets few answers that would make them good.
+/// Time over which futile retries are forgotten. As retries multiply from tier to tier, a class gets none
+/// after as many as one request may make: a caller with few calls gets few answers to make them good.
 const FUTILE_FADE: Duration = 30 * SECOND;
 /// Expected time to an answer, as part of the aim, from which work is shed, and at which all is: above them
 /// the tail of the answers misses it, and below them what is slow by nature would be refused on a calm day.
