Let a retry that helps make good a whole futile one

Cause: where most of a tier's calls fail, retries still serve many, but each answer made good a fifth of a futile retry whether a retry had brought it or not, so that retries ended that did help. Change: one that helped counts in full.

Chains take the new field of an attempt as it is.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -939,6 +939,7 @@
             self.pools[self.servers[at].zone].learn_lateness(lateness, self.now, LATE_GAIN, CALM);
         }
         let futile = match end.outcome {
+            Outcome::Ok if request.may_have_run.is_some() => -1.0, // it helped
             Outcome::Ok => -RETRY_BUDGET.0,
             Outcome::Error | Outcome::Timeout | Outcome::Reset if request.may_have_run.is_some() => 1.0,
             _ => 0.0,
--- a/tests/common/chain.rs
+++ b/tests/common/chain.rs
@@ -211,7 +211,7 @@
         self.balancers[at].handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, server, until } => self.send(at, id.0, server.0 as usize, until),
+                Action::Send { id, server, until, .. } => self.send(at, id.0, server.0 as usize, until),
                 Action::Refuse { id, .. } | Action::Fail(id) => self.answered(at, id.0, Outcome::Error),
                 Action::Cancel { id, attempt } => self.ended(at, id.0, attempt, Outcome::Cancelled),
                 Action::SetTimer { after, token } => {
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -62,6 +62,15 @@
     assert!(total.share() >= 0.995, "two of six servers: {total:?}");
 }
 
+/// Guards tiers of which little is left: a retry that helped is worth as much as a futile one.
+#[test]
+fn retries_that_help_make_good_those_that_do_not() {
+    let served =
+        |seed| Chain::new(8, 120.0, seed, failing(0.75, |tier| tier == 7)).run(21).total(0, 20).share();
+    let mean = [1, 2, 3].map(served).iter().sum::<f64>() / 3.0;
+    assert!(mean >= 0.82, "{mean} served");
+}
+
 /// Two in a hundred calls fail after the outage too: the retries that serve them must be granted again.
 #[test]
 fn a_tier_that_recovers_is_retried_within_a_second() {
