Ask the kernel whether a caller is still there right before its request is written

Cause: the runtime hears of a connection that has come up and of a caller's FIN in one look at its sockets, the connection first. exchange (upstream.rs) then set under_way before the caller's task had seen the end, and take_back in the driver did nothing: the request was written, however long ago its caller had left. Change: Presence (gate.rs) asks by poll(2) for POLLRDHUP, which shows FIN and RST also behind unread bytes and does not wait for the runtime; it holds the socket weakly. exchange asks right before under_way. The driver hears CallerGone before the attempt's end, so that the module does not send the request again; it is the same place in which a request ends when its caller's task sees it. The connection is kept. Peeking was ruled out, as it shows no end behind bytes, and reading, as it would take bytes of a body that is still coming. rustix (was in the lock file's registry already as a dependency of others) gives poll without unsafe code of ours. Seen failing without: a_request_whose_caller_leaves_as_its_connection_comes_up_is_not_sent_on (FIN, and behind 10 bytes: "1 bytes came"). The test beside it, of a refusal, passes without it too.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,6 +5,7 @@
 use super::config::Config;
 use super::counters::{self, Counters};
 use super::discovery::{Listing, State, Target};
+use super::gate::Presence;
 use super::handover::{Bans, Shared};
 use super::upstream::{Begun, Exchanged, Finished, Idle, Link, Means, exchange};
 use hyper::header::{HOST, HeaderValue};
@@ -67,6 +68,7 @@
 pub struct Call {
     pub id: RequestId,
     pub request: Request<Payload>,
+    pub caller: Presence,
     pub class: usize,
     pub tenant: usize,
     /// Its work, in nanoseconds, where the caller has a guess.
@@ -100,6 +102,7 @@
 /// A request that is not answered yet, or has attempts out.
 struct Open {
     request: Request<Payload>,
+    caller: Presence,
     class: usize,
     /// When its caller stops waiting; not known as long as the request is still coming.
     deadline: Option<Time>,
@@ -476,6 +479,7 @@
             id,
             Open {
                 request: call.request,
+                caller: call.caller,
                 class: call.class,
                 deadline,
                 whole: watch::Sender::new(None),
@@ -561,11 +565,15 @@
         });
         let rest = open.request.body().rest.clone().filter(|_| open.deadline.is_none());
         let expiry = expiry(self.clock.instant(until), rest.map(|rest| (open.whole.subscribe(), rest)));
-        let inputs = self.inputs.clone();
+        let (inputs, caller) = (self.inputs.clone(), Some(open.caller.clone()));
         let tally = Some(self.counters.attempts());
         let exchange = exchange(
             request,
-            Means { under_way: mark.clone(), ..self.means(link, address, self.clock.instant(until), tally) },
+            Means {
+                under_way: mark.clone(),
+                caller,
+                ..self.means(link, address, self.clock.instant(until), tally)
+            },
         );
         tokio::spawn(async move {
             let unless_sent = |outcome, unsent| if mark.load(Ordering::Relaxed) { outcome } else { unsent };
@@ -577,6 +585,10 @@
             };
             let input = match exchanged {
                 Exchanged::Ended(finished) => Input::Ended(id, number, finished),
+                Exchanged::CallerLeft(finished) => {
+                    inputs.send(Input::CallerGone(id)).ok(); // first, or the request would be sent again
+                    Input::Ended(id, number, finished)
+                }
                 Exchanged::Begun(begun) => Input::Begun(id, number, begun),
             };
             inputs.send(input).ok();
@@ -591,6 +603,7 @@
             until,
             tally,
             budget: self.budget.clone(),
+            caller: None,
             under_way: Arc::default(),
         }
     }
@@ -676,7 +689,7 @@
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
             let finished = match timeout(PROBE_PATIENCE, exchange).await {
-                Ok(Exchanged::Ended(finished)) => finished,
+                Ok(Exchanged::Ended(finished) | Exchanged::CallerLeft(finished)) => finished,
                 Ok(Exchanged::Begun(_)) => Outcome::Error.into(), // no figures are so long
                 Err(_) => Outcome::Timeout.into(),
             };
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -1,13 +1,14 @@
 //! A caller's socket: hands hyper one request at a time, and notes what hyper does not tell.
 
 use bytes::{Buf, BytesMut};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -287,6 +288,11 @@
         begun || is_new || idle.is_some() && peeked.is_ok_and(|bytes| bytes > 0)
     }
 
+    /// The socket as an attempt looks at it.
+    pub fn presence(&self) -> Presence {
+        Presence(Arc::downgrade(&self.tcp))
+    }
+
     /// Waits until the caller of a request that is still coming has closed or reset its connection. That shows also
     /// while nobody reads what is in front of it; no urgent data is waited for.
     pub async fn closed(&self) {
@@ -309,6 +315,20 @@
     }
 }
 
+/// Whether a caller is still there. It does not keep the socket open: an attempt may outlast its caller.
+#[derive(Clone)]
+pub struct Presence(Weak<TcpStream>);
+
+impl Presence {
+    /// Whether the caller has closed or reset its connection, as the kernel knows it now. The runtime hears of that
+    /// at its next look at its sockets only, and reading shows it only behind what has come before.
+    pub fn has_left(&self) -> bool {
+        let Some(tcp) = self.0.upgrade() else { return true };
+        let socket = &mut [PollFd::new(&*tcp, PollFlags::RDHUP)]; // errors and resets are told unasked
+        poll(socket, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok() && !socket[0].revents().is_empty()
+    }
+}
+
 /// A socket that hands on no byte of a request before the one in front of it is answered. So the end of a caller
 /// shows while its request is open, a request's time can run from its last byte, and one that stands between
 /// requests, or in the midst of one, is told from one that has a request open.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -409,7 +409,8 @@
             lock(seen).whole() + budget
         };
         let deadline = if whole { has_come() } else { Instant::now() + budget };
-        let call = Call { id, request, class, tenant, work, deadline, answer };
+        let caller = line.presence();
+        let call = Call { id, request, caller, class, tenant, work, deadline, answer };
         self.driver.send(Input::Called(Box::new(call))).ok();
         let left = Err((StatusCode::BAD_REQUEST, "the caller has left\n")); // nobody reads this
         let early = match came {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to upstreams, and attempts on them: one attempt at a time on each.
 
 use super::body::{Budget, Gathered, MOST_BODY, MOST_KEPT, Outgoing, Payload, Room, gather};
-use super::gate::lock;
+use super::gate::{Presence, lock};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -46,6 +46,8 @@
 /// What has come of an attempt.
 pub enum Exchanged {
     Ended(Finished),
+    /// It ended as its caller has left.
+    CallerLeft(Finished),
     /// The caller's answer has begun, and is too long to wait for its end.
     Begun(Box<Begun>),
 }
@@ -74,6 +76,8 @@
     /// Counts the attempts that are written whole.
     pub tally: Option<Arc<AtomicU64>>,
     pub budget: Arc<Budget>,
+    /// Whose request it is, if it is a caller's.
+    pub caller: Option<Presence>,
     /// Is set when the connection is there, before the first byte is written.
     pub under_way: Arc<AtomicBool>,
 }
@@ -116,6 +120,10 @@
     let left = means.until.saturating_duration_since(Instant::now());
     let left = HeaderValue::from_str(&format!("{:.6}", left.as_secs_f64()));
     request.headers_mut().insert("x-budget", left.unwrap_or(HeaderValue::from_static("0")));
+    if means.caller.as_ref().is_some_and(Presence::has_left) {
+        let connection = Some(connection);
+        return Exchanged::CallerLeft(Finished { outcome: Outcome::Moot, response: None, connection });
+    }
     means.under_way.store(true, Ordering::Relaxed);
     let progress = connection.progress.clone();
     progress.body_taken.store(false, Ordering::Relaxed);
@@ -409,6 +417,7 @@
             until: Instant::now() + Duration::from_secs(30),
             tally: None,
             budget: Budget::new(1 << 20),
+            caller: None,
             under_way: Arc::default(),
         };
         let Exchanged::Ended(finished) = exchange(Request::new(Payload::default()), means).await else {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -717,23 +717,9 @@
         crowded
     }
 
-    /// Connections that have not come up.
-    fn waiting(&self) -> usize {
-        const SYN_SENT: &str = "02";
-        let SocketAddr::V4(address) = self.address else { unreachable!("bound to IPv4") };
-        let address = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
-        let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let mut waiting = 0;
-        for socket in sockets.lines() {
-            let mut fields = socket.split_whitespace().skip(2);
-            waiting += usize::from(fields.next() == Some(&address) && fields.next() == Some(SYN_SENT));
-        }
-        waiting
-    }
-
     /// Waits until so many connections wait to come up.
     pub fn wait_for(&self, waiting: usize) {
-        eventually("connections that wait", || self.waiting() == waiting);
+        eventually("connections that wait", || coming_up(self.address) == waiting);
     }
 
     /// Waits until no connection waits to come up any more.
@@ -757,6 +743,20 @@
     }
 }
 
+/// Connections to an address that have not come up.
+pub fn coming_up(address: SocketAddr) -> usize {
+    const SYN_SENT: &str = "02";
+    let SocketAddr::V4(address) = address else { unreachable!("bound to IPv4") };
+    let address = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut waiting = 0;
+    for socket in sockets.lines() {
+        let mut fields = socket.split_whitespace().skip(2);
+        waiting += usize::from(fields.next() == Some(&address) && fields.next() == Some(SYN_SENT));
+    }
+    waiting
+}
+
 /// Waits until something holds.
 pub fn eventually(what: &str, holds: impl Fn() -> bool) {
     let asked = std::time::Instant::now();
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -163,6 +163,48 @@
     });
 }
 
+/// A client that closed has gone: no attempt begins more than this much later.
+const GONE: Duration = Duration::from_millis(100);
+
+/// Guards upstreams against work that nobody waits for where the balancer, held up, finds the connection and the end of
+/// the caller in one look at its sockets, the connection first.
+#[test]
+fn a_request_whose_caller_leaves_as_its_connection_comes_up_is_not_sent_on() {
+    let leaves = |body: &str, cut: usize, way: Leave, may_cancel: bool| {
+        let crowded = Crowded::open();
+        let mut config = alone_at(crowded.address, refusing(), may_cancel);
+        config["settings"]["Limits"]["ConnectTimeoutNs"] = 120_000_000_000_u64.into(); // not by its end
+        let program = Program::start(&config);
+        let mut caller = program.connect();
+        let whole = request("post", LONG, body);
+        caller.write(&whole[..whole.len() - cut]);
+        crowded.wait_for(1);
+        program.pause();
+        let upstream = crowded.let_in(|_| Act::Answer(ok("")));
+        eventually("the connection is up", || coming_up(upstream.address) == 0);
+        caller.leave(way);
+        std::thread::sleep(2 * GONE);
+        program.go_on();
+        assert_eq!(program.connect().call("post", LONG, "later").unwrap().status(), 200, "{way:?}");
+        let first = upstream.request().body;
+        let case = format!("{way:?}, {cut} bytes short of {}, may cancel: {may_cancel}", body.len());
+        assert!(first == b"later", "{case}: {} bytes came", first.len());
+        assert_eq!(upstream.requests(), 0, "{case}");
+    };
+    let (leaves, short, long) = (&leaves, "b", &"b".repeat(100_000));
+    std::thread::scope(|scope| {
+        for may_cancel in [true, false] {
+            for way in WAYS {
+                scope.spawn(move || leaves(short, 0, way, may_cancel));
+                scope.spawn(move || leaves(long, 0, way, may_cancel));
+            }
+            for way in [Leave::Fin, Leave::Rst, Leave::After(3)] {
+                scope.spawn(move || leaves(long, 5, way, may_cancel));
+            }
+        }
+    });
+}
+
 /// Guards what may be repeated: an attempt whose connection never came up was never sent, and its caller may come
 /// again.
 #[test]
@@ -195,6 +237,35 @@
     }
 }
 
+/// The same where the balancer, held up, finds the refusal and the end of the caller in one look at its sockets.
+#[test]
+fn a_request_whose_caller_leaves_as_it_is_turned_away_is_not_sent_again() {
+    for may_cancel in [true, false] {
+        for way in WAYS {
+            let upstream = Port::open();
+            let program = Program::start(&alone_at(upstream.address, refusing(), may_cancel));
+            let mut caller = program.connect();
+            caller.send("post", LONG, "first");
+            let mut line = upstream.accept();
+            assert_eq!(line.read().body, b"first");
+            program.pause();
+            line.write(&full());
+            caller.leave(way);
+            std::thread::sleep(2 * GONE);
+            program.go_on();
+            let mut later = program.connect();
+            later.send("post", LONG, "later");
+            let first = line.try_read().unwrap_or_else(|| {
+                line = upstream.accept();
+                line.read()
+            });
+            assert_eq!(first.body, b"later", "{way:?}, may cancel: {may_cancel}");
+            line.write(&ok(""));
+            assert_eq!(later.answer().expect("an answer").status(), 200);
+        }
+    }
+}
+
 /// Has a caller leave, and waits until the program has seen that: it closes its side then.
 fn gone_after(program: &Program, caller: Caller, way: Leave) {
     let open = program.connections();
