End a request that its caller breaks off within a long body as cancelled

Cause: where the streamed rest of a body breaks off (or is too long), hyper ends the connection to the upstream, and broken() in exchange (upstream.rs) took that for a connection that failed before the last byte: ConnectFailed, which charges the upstream's breaker for its callers' fault. Change: Rest notes that it broke off; the attempt ends as Cancelled then. If the caller has left, the driver hears of that first, in the same place as before, so that no failure is counted for it. Without a mend of the wrong outcome, being told of the caller's end earlier would only make the race rarer. Seen failing without: callers_that_break_off_within_a_long_body_are_no_failures_of_its_upstream ("breaker of server 1 opened, 1 times lately", also where attempts may be cancelled). Still so: the time until the break counts as that of a cancelled call in the lateness of its zone, also where its caller was slow over the body.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -106,6 +106,8 @@
     /// How much more of it may come.
     left: Mutex<u64>,
     spent: AtomicBool,
+    /// It broke off, or was too long.
+    broken: AtomicBool,
     /// Is told of the end.
     ended: Mutex<Option<oneshot::Sender<()>>>,
 }
@@ -116,8 +118,8 @@
         let (tell, ended) = oneshot::channel();
         let (length, ended_by) = (body.size_hint().exact(), Mutex::new(Some(tell)));
         let left = Mutex::new(MOST_BODY);
-        let spent = AtomicBool::new(false);
-        (Arc::new(Self { body: Mutex::new(body), length, left, spent, ended: ended_by }), ended)
+        let (spent, broken) = Default::default();
+        (Arc::new(Self { body: Mutex::new(body), length, left, spent, broken, ended: ended_by }), ended)
     }
 
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
@@ -130,7 +132,7 @@
                     let Ok(data) = frame.into_data() else { continue }; // trailers end here
                     let left = &mut *lock(&self.left);
                     let Some(less) = left.checked_sub(data.len() as u64) else {
-                        return Poll::Ready(Some(Err(Broken)));
+                        return Poll::Ready(Some(Err(self.breaks())));
                     };
                     *left = less;
                     if body.is_end_stream() {
@@ -138,7 +140,7 @@
                     }
                     Poll::Ready(Some(Ok(data)))
                 }
-                Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(Broken))),
+                Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(self.breaks()))),
                 Poll::Ready(None) => {
                     self.has_ended();
                     Poll::Ready(None)
@@ -152,6 +154,16 @@
         *lock(&self.left)
     }
 
+    /// Whether it broke off, or was too long: a fault of its caller.
+    pub fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::Relaxed)
+    }
+
+    fn breaks(&self) -> Broken {
+        self.broken.store(true, Ordering::Relaxed);
+        Broken
+    }
+
     fn has_ended(&self) {
         if let Some(ended) = lock(&self.ended).take() {
             ended.send(()).ok(); // its caller may just have left
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -120,7 +120,8 @@
     let left = means.until.saturating_duration_since(Instant::now());
     let left = HeaderValue::from_str(&format!("{:.6}", left.as_secs_f64()));
     request.headers_mut().insert("x-budget", left.unwrap_or(HeaderValue::from_static("0")));
-    if means.caller.as_ref().is_some_and(Presence::has_left) {
+    let caller_left = || means.caller.as_ref().is_some_and(Presence::has_left);
+    if caller_left() {
         let connection = Some(connection);
         return Exchanged::CallerLeft(Finished { outcome: Outcome::Moot, response: None, connection });
     }
@@ -131,13 +132,21 @@
     *lock(&progress.tally) = means.tally;
     let taken = connection.progress.clone();
     let taken: Taken = Box::new(move || taken.body_taken.store(true, Ordering::Relaxed));
-    let broken = || match progress.written.load(Ordering::Relaxed) {
-        true => Outcome::Reset,
-        false => Outcome::ConnectFailed,
+    let rest = request.body().rest.clone();
+    let broken = || -> Exchanged {
+        match progress.written.load(Ordering::Relaxed) {
+            // Its caller broke the request off, which says nothing of the upstream.
+            _ if rest.as_ref().is_some_and(|rest| rest.is_broken()) => match caller_left() {
+                true => Exchanged::CallerLeft(Outcome::Cancelled.into()),
+                false => Outcome::Cancelled.into(),
+            },
+            true => Outcome::Reset.into(),
+            false => Outcome::ConnectFailed.into(),
+        }
     };
     let request = request.map(|payload| Outgoing::new(payload, taken));
     let Ok(response) = connection.sender.send_request(request).await else {
-        return broken().into();
+        return broken();
     };
     let (head, mut body) = response.into_parts();
     let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
@@ -160,7 +169,7 @@
     let most = if room.is_some() { MOST_KEPT } else { 0 };
     let (kept, whole) = match gather(&mut body, most, until).await {
         Ok(Gathered { kept, whole }) => (kept, whole || body.is_end_stream()),
-        Err(_) => return broken().into(),
+        Err(_) => return broken(),
     };
     let head = Response::from_parts(head, kept);
     if whole {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::process::*;
+use std::io::Read;
 use std::time::{Duration, Instant};
 
 /// A configuration in which lists are asked for, or pushed.
@@ -266,6 +267,35 @@
     }
 }
 
+/// Guards an upstream's breaker: that a body broke off is its caller's fault.
+#[test]
+fn callers_that_break_off_within_a_long_body_are_no_failures_of_its_upstream() {
+    for may_cancel in [true, false] {
+        let upstream = Port::open();
+        let program = Program::start(&alone_at(upstream.address, refusing(), may_cancel));
+        for _ in 0..10 {
+            for way in [Leave::Fin, Leave::Rst, Leave::After(3)] {
+                let mut caller = program.connect();
+                let whole = request("post", LONG, &"b".repeat(200_000));
+                caller.write(&whole[..whole.len() - 5]);
+                let mut line = upstream.accept();
+                line.input.read_exact(&mut vec![0; 190_000]).unwrap(); // well beyond what is kept
+                caller.leave(way);
+                assert!(line.try_read().is_none(), "it breaks off there as well");
+            }
+        }
+        let mut later = program.connect();
+        later.send("post", LONG, "later");
+        let mut line = upstream.accept();
+        assert_eq!(line.read().body, b"later");
+        line.write(&ok(""));
+        assert_eq!(later.answer().expect("an answer").status(), 200);
+        program.terminate();
+        let (_, log) = program.end();
+        assert!(!log.contains("breaker"), "may cancel: {may_cancel}: {log}");
+    }
+}
+
 /// Has a caller leave, and waits until the program has seen that: it closes its side then.
 fn gone_after(program: &Program, caller: Caller, way: Leave) {
     let open = program.connections();
