--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to upstreams, and attempts on them: one attempt at a time on each.
 
 use super::body::{Budget, Gathered, MOST_BODY, MOST_KEPT, Outgoing, Payload, Room, gather};
-use super::gate::lock;
+use super::gate::{Presence, lock};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -46,6 +46,8 @@
 /// What has come of an attempt.
 pub enum Exchanged {
     Ended(Finished),
+    /// It ended as its caller has left.
+    CallerLeft(Finished),
     /// The caller's answer has begun, and is too long to wait for its end.
     Begun(Box<Begun>),
 }
@@ -76,6 +78,8 @@
     /// Counts the attempts that are written whole.
     pub tally: Option<Arc<AtomicU64>>,
     pub budget: Arc<Budget>,
+    /// Whose request it is, if it is a caller's.
+    pub caller: Option<Presence>,
     /// Is set when the connection is there, before the first byte is written.
     pub under_way: Arc<AtomicBool>,
 }
@@ -125,6 +129,11 @@
     let left = means.until.saturating_duration_since(Instant::now());
     let left = HeaderValue::from_str(&format!("{:.6}", left.as_secs_f64()));
     request.headers_mut().insert("x-budget", left.unwrap_or(HeaderValue::from_static("0")));
+    let caller_left = || means.caller.as_ref().is_some_and(Presence::has_left);
+    if caller_left() {
+        let connection = Some(connection);
+        return Exchanged::CallerLeft(Finished { outcome: Outcome::Moot, response: None, connection });
+    }
     means.under_way.store(true, Ordering::Relaxed);
     let progress = connection.progress.clone();
     progress.body_taken.store(false, Ordering::Relaxed);
@@ -132,13 +141,21 @@
     *lock(&progress.tally) = means.tally;
     let taken = connection.progress.clone();
     let taken: Taken = Box::new(move || taken.body_taken.store(true, Ordering::Relaxed));
-    let broken = || match progress.written.load(Ordering::Relaxed) {
-        true => Outcome::Reset,
-        false => Outcome::ConnectFailed,
+    let rest = request.body().rest.clone();
+    let broken = || -> Exchanged {
+        match progress.written.load(Ordering::Relaxed) {
+            // Its caller broke the request off, which says nothing of the upstream.
+            _ if rest.as_ref().is_some_and(|rest| rest.is_broken()) => match caller_left() {
+                true => Exchanged::CallerLeft(Outcome::Cancelled.into()),
+                false => Outcome::Cancelled.into(),
+            },
+            true => Outcome::Reset.into(),
+            false => Outcome::ConnectFailed.into(),
+        }
     };
     let request = request.map(|payload| Outgoing::new(payload, taken));
     let Ok(response) = connection.sender.send_request(request).await else {
-        return broken().into();
+        return broken();
     };
     let (head, mut body) = response.into_parts();
     let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
@@ -161,7 +178,7 @@
     let most = if room.is_some() { MOST_KEPT } else { 0 };
     let (kept, whole) = match gather(&mut body, most, until).await {
         Ok(Gathered { kept, whole }) => (kept, whole || body.is_end_stream()),
-        Err(_) => return broken().into(),
+        Err(_) => return broken(),
     };
     let head = Response::from_parts(head, kept);
     if whole {
@@ -419,6 +436,7 @@
             begin_by: None,
             tally: None,
             budget: Budget::new(1 << 20),
+            caller: None,
             under_way: Arc::default(),
         };
         let Exchanged::Ended(finished) = exchange(Request::new(Payload::default()), means).await else {
