--- /dev/null
+++ b/scale/src/lib.rs
@@ -0,0 +1,3 @@
+//! Emulates a fleet of balancers and what they serve: `hollow` on virtual time, `real` with real processes.
+
+pub mod report;
