--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -169,7 +169,7 @@
             let from = watch.look();
             sleep(config.idle()).await;
             measured.idle = watch.since(&from);
-            let from = watch.look();
+            let (from, attempts) = (watch.look(), upstreams.attempts());
             let faults = async {
                 tokio::join!(
                     discovery_down(config, &discovery),
@@ -183,6 +183,7 @@
             let ((down, restarts), ()) = tokio::join!(faults, load);
             let () = down;
             measured.load = watch.since(&from);
+            measured.attempts = upstreams.attempts() - attempts;
             restarts
         };
         tokio::select! {
--- a/scale/src/real/measure.rs
+++ b/scale/src/real/measure.rs
@@ -128,6 +128,8 @@
     pub restarts: Vec<Duration>,
     pub idle: Used,
     pub load: Used,
+    /// Attempts that balancers have sent for the measured calls.
+    pub attempts: u64,
     pub peaks: Vec<Peak>,
 }
 
@@ -163,7 +165,7 @@
         discovery: &Discovery,
     ) -> Outcome {
         let mut figures = Figures::default();
-        self.calls(&mut figures, tallies, upstreams);
+        self.calls(&mut figures, tallies);
         let milliseconds =
             |times: &[Duration]| times.iter().map(|time| time.as_secs_f64() * 1e3).collect::<Vec<_>>();
         figures.spread("time_to_ready", "_ms", &milliseconds(&self.ready));
@@ -203,7 +205,7 @@
         Outcome { figures: figures.0, tables: vec![latency(tallies), self.balancers()] }
     }
 
-    fn calls(&self, figures: &mut Figures, tallies: &Tallies, upstreams: &Upstreams) {
+    fn calls(&self, figures: &mut Figures, tallies: &Tallies) {
         let Tallies { balanced, direct } = tallies;
         for (name, tally) in [("calls", balanced), ("direct_calls", direct)] {
             figures.add(name, tally.sent as f64);
@@ -218,7 +220,9 @@
                 figures.add(&format!("{prefix}failed_ratio"), ratio(tally.failed));
             }
         }
-        figures.add("attempts", upstreams.attempts() as f64);
+        if balanced.sent > 0 {
+            figures.add("attempts_per_call", self.attempts as f64 / balanced.sent as f64);
+        }
         for (name, quantile) in QUANTILES {
             if balanced.served > 0 && direct.served > 0 {
                 let at = |tally: &Tally| tally.times.value_at_quantile(quantile) as f64 / 1e3;
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -148,7 +148,8 @@
             at(inner.span(), describe(&key, inner.message(), inner.span().and_then(|span| text.get(span))))
         })?;
         check(&scenario).map_err(|(section, message)| {
-            let span = section.split('.').chain(named(&message)).collect::<Vec<_>>();
+            let key = named(&message).into_iter().flat_map(|key| key.split('.'));
+            let span = section.split('.').chain(key).collect::<Vec<_>>();
             at(find(&text, &span), format!("`{section}`: {message}"))
         })?;
         Ok(Self { path: path.into(), table, scenario })
--- /dev/null
+++ b/scale/tests/real.rs
@@ -0,0 +1,160 @@
+//! Real balancers of the build that the tests are of, on loopback.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// The balancer beside the emulator that is tested.
+fn balancer() -> PathBuf {
+    let balancer = Path::new(env!("CARGO_BIN_EXE_woadstall-scale")).with_file_name("woadstall");
+    assert!(balancer.is_file(), "no {}: test with --workspace", balancer.display());
+    balancer
+}
+
+/// A folder with a scenario of two balancers, with these keys beside.
+fn scenario(keys: &str) -> TempDir {
+    let folder = TempDir::new().unwrap();
+    let text = format!(
+        "name = \"n\"\nmode = \"real\"\nseed = 3\n[real]\nbalancers = 2\ntargets = 4\nzones = 2\nthreads = 2\n\
+         deadline_ms = 10000\nwarmup_s = 0.2\nidle_s = 0.2\n{keys}"
+    );
+    std::fs::write(folder.path().join("s.toml"), text).unwrap();
+    folder
+}
+
+fn scale(folder: &Path, arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_woadstall-scale"));
+    command.current_dir(folder).args(arguments).arg("--balancer").arg(balancer());
+    // Of its own, so that what it leaves there is seen.
+    std::fs::create_dir_all(folder.join("tmp")).unwrap();
+    command.env("TMPDIR", folder.join("tmp")).stdin(Stdio::null());
+    command
+}
+
+/// Asserts that a run was sound, and gives its figures.
+fn figures(output: &Output) -> serde_json::Map<String, serde_json::Value> {
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    report["run"]["outcome"]["figures"].as_object().unwrap().clone()
+}
+
+/// Processes whose environment points into a folder: the balancers that an emulator with that folder has started.
+fn balancers_of(folder: &Path) -> Vec<u32> {
+    let needle = format!("LB_CONFIG={}", folder.join("tmp").display());
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir("/proc").unwrap().filter_map(Result::ok) {
+        let Ok(process) = entry.file_name().to_string_lossy().parse() else { continue };
+        // Empty for one that has ended, and unreadable for another user's.
+        let environment = std::fs::read(entry.path().join("environ")).unwrap_or_default();
+        if environment.split(|byte| *byte == 0).any(|entry| entry.starts_with(needle.as_bytes())) {
+            found.push(process);
+        }
+    }
+    found
+}
+
+/// Waits until so many balancers run.
+fn wait_for_balancers(folder: &Path, count: usize, emulator: &mut Child) {
+    while balancers_of(folder).len() < count {
+        assert_eq!(emulator.try_wait().unwrap(), None, "the run ended by itself");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn calls_are_served_and_changes_are_followed() {
+    let folder = scenario("rate = 200\ndirect_rate = 200\nchange_rate = 10\nload_s = 1\n");
+    let figures = figures(&scale(folder.path(), &["run", "s.toml", "--json"]).output().unwrap());
+    let figure = |name: &str| figures[name].as_f64().unwrap();
+    assert!(figure("calls") > 100.0 && figure("direct_calls") > 100.0);
+    assert_eq!((figure("served_ratio"), figure("direct_served_ratio")), (1.0, 1.0));
+    assert!(figure("attempts_per_call") >= 1.0);
+    assert!(figure("changes") >= 1.0);
+    assert_eq!(figure("changes_not_followed"), 0.0);
+    for name in [
+        "time_to_ready_max_ms",
+        "change_followed_max_ms",
+        "latency_p999_us",
+        "latency_direct_p99_us",
+        "cpu_load_max_percent",
+        "memory_peak_max_mb",
+        "descriptors_peak_max",
+        "control_idle_mean_bytes_per_s",
+        "control_idle_mean_calls_per_s",
+    ] {
+        assert!(figure(name) > 0.0, "{name} is {}", figure(name));
+    }
+    assert!(figures.contains_key("latency_added_p50_us"));
+    assert!(balancers_of(folder.path()).is_empty());
+    assert_eq!(std::fs::read_dir(folder.path().join("tmp")).unwrap().count(), 0, "files are left");
+}
+
+#[test]
+fn a_change_that_discovery_kept_to_itself_is_followed_after() {
+    let down = "[real.discovery_down]\nat_s = 0.3\nfor_s = 1\n";
+    let folder = scenario(&format!("rate = 50\ndirect_rate = 0\nchange_rate = 10\nload_s = 1.5\n{down}"));
+    let figures = figures(&scale(folder.path(), &["run", "s.toml", "--json"]).output().unwrap());
+    assert!(figures["changes"].as_f64().unwrap() >= 1.0);
+    assert_eq!(figures["changes_not_followed"], 0.0);
+    assert_eq!(figures["served_ratio"], 1.0);
+    // There was nothing to compare with.
+    assert!(!figures.contains_key("latency_added_p50_us"));
+}
+
+#[test]
+fn a_rolling_restart_replaces_every_balancer_and_loses_no_call() {
+    let restart = "[real.rolling_restart]\nat_s = 0.1\n";
+    // A short deadline keeps the drains short.
+    let folder =
+        scenario(&format!("rate = 50\ndirect_rate = 0\nload_s = 2\n{restart}").replace("10000", "1000"));
+    let figures = figures(&scale(folder.path(), &["run", "s.toml", "--json"]).output().unwrap());
+    assert_eq!(figures["restarts"], 2.0);
+    assert_eq!(figures["served_ratio"], 1.0);
+    assert!(figures["time_to_ready_again_max_ms"].as_f64().unwrap() > 0.0);
+    assert!(balancers_of(folder.path()).is_empty());
+}
+
+#[test]
+fn its_balancers_end_with_it_after_a_signal() {
+    for (signal, status) in [("-INT", 130), ("-TERM", 143)] {
+        let folder = scenario("rate = 50\nload_s = 300\n");
+        let mut emulator = scale(folder.path(), &["run", "s.toml"]);
+        let mut emulator = emulator.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        wait_for_balancers(folder.path(), 2, &mut emulator);
+        assert!(Command::new("kill").args([signal, &emulator.id().to_string()]).status().unwrap().success());
+        let ended = emulator.wait_with_output().unwrap();
+        assert_eq!(ended.status.code(), Some(status), "{}", String::from_utf8_lossy(&ended.stderr));
+        assert!(balancers_of(folder.path()).is_empty());
+        assert_eq!(std::fs::read_dir(folder.path().join("tmp")).unwrap().count(), 0, "files are left");
+    }
+}
+
+#[test]
+fn the_others_end_after_one_ended_by_itself() {
+    let folder = scenario("rate = 50\nload_s = 300\n");
+    let mut emulator = scale(folder.path(), &["run", "s.toml"]);
+    let mut emulator = emulator.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    wait_for_balancers(folder.path(), 2, &mut emulator);
+    let one = balancers_of(folder.path())[0];
+    assert!(Command::new("kill").args(["-KILL", &one.to_string()]).status().unwrap().success());
+    let ended = emulator.wait_with_output().unwrap();
+    let line = String::from_utf8(ended.stderr).unwrap();
+    assert_eq!(ended.status.code(), Some(2), "{line}");
+    assert!(line.lines().count() == 1 && line.contains("balancer"), "{line}");
+    assert!(balancers_of(folder.path()).is_empty());
+}
+
+#[test]
+fn a_program_that_is_no_balancer_is_one_clear_line() {
+    let folder = scenario("rate = 50\nload_s = 1\n");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_woadstall-scale"));
+    let output = command
+        .current_dir(folder.path())
+        .args(["run", "s.toml", "--balancer", "/bin/true"])
+        .output()
+        .unwrap();
+    let line = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{line}");
+    assert!(line.lines().count() == 1 && line.contains("did not start"), "{line}");
+}
