--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -1,11 +1,11 @@
 //! Stands where the emulation on virtual time will: the same signatures, and nothing behind them.
 
 use crate::report::Outcome;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use std::time::Duration;
 
 /// The `[hollow]` table of a scenario.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
     pub balancers: usize,
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -27,17 +27,19 @@
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use upstream::Upstreams;
 
 /// How long the last changes may take to be followed after the load has ended: what discovery has counts as told
 /// after 6 s.
 const SETTLE: Duration = Duration::from_secs(6);
-/// How long the front keeps sending to a balancer that was told to stop.
-const FRONT_LAG: Duration = Duration::from_millis(300);
 /// How long a balancer may take to end after SIGTERM, beyond the longest deadline.
 const STOP_PATIENCE: Duration = Duration::from_secs(10);
 
+/// Pause between two looks whether a balancer has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
 /// The balancers' program: the one that is named, or the release build in the target folder of this program.
 pub fn program(named: Option<&Path>) -> Result<PathBuf> {
     let path = match named {
@@ -83,7 +85,7 @@
     })
 }
 
-/// The balancers that run.
+/// The processes of the balancers, by the balancers' number. All that live are here at any time.
 #[derive(Default)]
 struct Fleet(Mutex<Vec<Option<Balancer>>>);
 
@@ -92,6 +94,20 @@
         lock(&self.0)
     }
 
+    /// Takes a process in, in place of one that has ended.
+    fn put(&self, at: usize, balancer: Balancer) {
+        let mut balancers = self.lock();
+        if balancers.len() <= at {
+            balancers.resize_with(at + 1, || None);
+        }
+        balancers[at] = Some(balancer);
+    }
+
+    /// Does something with the process of a balancer, if it has one.
+    fn with<T>(&self, at: usize, act: impl FnOnce(&mut Balancer) -> T) -> Option<T> {
+        self.lock().get_mut(at)?.as_mut().map(act)
+    }
+
     /// Kills all that still run and waits until they are gone.
     async fn end(&self) {
         let balancers: Vec<_> = self.lock().drain(..).flatten().collect();
@@ -100,7 +116,7 @@
         }
     }
 
-    /// The processes by the balancers' number.
+    /// The processes' numbers.
     fn processes(&self) -> Vec<Option<u32>> {
         self.lock().iter().map(|balancer| balancer.as_ref().map(Balancer::process)).collect()
     }
@@ -137,26 +153,23 @@
     let program = Program::new(program, config, seed)?;
     let mut measured = Measured::default();
 
-    let starting = (0..config.balancers).map(|at| {
-        let known = discovery.known_nothing();
-        program.start(at, 0, discovery.agent(at), known)
-    });
-    // All at once, as after a power cut; each is put where it is ended as soon as it is there.
-    fleet.lock().resize_with(config.balancers, || None);
-    let mut started = tokio::task::JoinSet::new();
-    for (at, starting) in starting.enumerate() {
-        let starting = starting?;
-        started.spawn(async move { (at, starting.ready().await) });
+    // All at once, as after a power cut.
+    let mut starting = JoinSet::new();
+    for at in 0..config.balancers {
+        let (balancer, start) = program.start(at, 0, discovery.agent(at), discovery.known_nothing())?;
+        fleet.put(at, balancer);
+        starting.spawn(async move { (at, start.ready().await) });
     }
-    while let Some(joined) = started.join_next().await {
-        let (at, balancer) = joined.context("a start was not finished")?;
-        let balancer = balancer?;
-        measured.ready.push(balancer.ready_after);
+    let mut addresses = vec![None; config.balancers];
+    while let Some(joined) = starting.join_next().await {
+        let (at, ready) = joined.context("a start was not finished")?;
+        let ready = ready?;
+        fleet.with(at, Balancer::serves);
         discovery.follows(at);
-        fleet.lock()[at] = Some(balancer);
+        measured.ready.push(ready.after);
+        addresses[at] = Some(ready.address);
     }
 
-    let addresses = fleet.lock().iter().flatten().map(|balancer| Some(balancer.address)).collect();
     let front = Arc::new(Front::new(addresses));
     let clients = Clients::new(config, seed, front.clone(), upstreams.addresses());
     let watch = Watch::new(fleet, &discovery);
@@ -176,12 +189,8 @@
                     rolling_restart(config, &program, fleet, &front, &discovery)
                 )
             };
-            let load = async {
-                clients.call(config.load(), true).await;
-            };
-            // A restart that the load does not see to its end would not be measured: it is waited for.
-            let ((down, restarts), ()) = tokio::join!(faults, load);
-            let () = down;
+            // Restarts that the calls do not see to their end are waited for.
+            let (((), restarts), ()) = tokio::join!(faults, clients.call(config.load(), true));
             measured.load = watch.since(&from);
             measured.attempts = upstreams.attempts() - attempts;
             restarts
@@ -196,7 +205,7 @@
         loop {
             advance();
             watch.peaks();
-            if let Err(error) = fleet.check() {
+            if let Err(error) = fleet.check().and_then(|()| watch.check_memory()) {
                 return error;
             }
             sleep(Duration::from_millis(200)).await;
@@ -265,22 +274,27 @@
     let mut ready = Vec::new();
     sleep(Duration::from_secs_f64(restart.at_s)).await;
     for at in 0..config.balancers {
-        // Out of the fleet from here on: its end is no crash. Dropping it kills it.
-        let old = fleet.lock()[at].take();
-        let Some(mut old) = old else { continue };
         discovery.follows_no_more(at);
         let known = discovery.known();
-        old.terminate();
-        sleep(FRONT_LAG).await;
+        fleet.with(at, Balancer::terminate);
+        sleep(Duration::from_secs_f64(restart.front_lag_s)).await;
         front.remove(at);
-        if timeout(config.deadline() + STOP_PATIENCE, old.ended()).await.is_err() {
-            bail!("balancer {at} did not end within {:?} of SIGTERM", config.deadline() + STOP_PATIENCE);
+        let ended = async {
+            while fleet.with(at, Balancer::has_ended) == Some(false) {
+                sleep(LOOK_EVERY).await;
+            }
+        };
+        let patience = config.deadline() + STOP_PATIENCE;
+        if timeout(patience, ended).await.is_err() {
+            bail!("balancer {at} did not end within {patience:?} of SIGTERM");
         }
-        let new = program.start(at, 1, discovery.agent(at), known)?.ready().await?;
-        ready.push(new.ready_after);
+        let (balancer, start) = program.start(at, 1, discovery.agent(at), known)?;
+        fleet.put(at, balancer);
+        let new = start.ready().await?;
+        fleet.with(at, Balancer::serves);
+        ready.push(new.after);
         discovery.follows(at);
         front.admit(at, new.address);
-        fleet.lock()[at] = Some(new);
         sleep(Duration::from_secs_f64(restart.pause_s)).await;
     }
     Ok(ready)
--- a/scale/src/real/balancer.rs
+++ b/scale/src/real/balancer.rs
@@ -31,22 +31,37 @@
     folder: TempDir,
 }
 
-/// A process that has been started.
-pub struct Starting {
-    at: usize,
-    child: Child,
-    since: Instant,
-}
-
-/// A balancer that is ready. Dropping it kills its process.
+/// The process of a balancer. Dropping it kills it.
 #[derive(Debug)]
 pub struct Balancer {
     at: usize,
     child: Child,
     process: u32,
+    phase: Phase,
+}
+
+/// How far a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Starting,
+    Serving,
+    /// It was told to end.
+    Leaving,
+}
+
+/// A balancer that has been started, as its log and its address show it.
+pub struct Starting {
+    at: usize,
+    since: Instant,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+/// A balancer that is ready.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
     pub address: SocketAddr,
     /// From the start of the process to the first 200 of `/healthz`.
-    pub ready_after: Duration,
+    pub after: Duration,
 }
 
 /// The name of a class.
@@ -90,7 +105,13 @@
     }
 
     /// Starts the process of a balancer. `starts` counts those it had before, `known` is the list it last had.
-    pub fn start(&self, at: usize, starts: u64, discovery: SocketAddr, known: Value) -> Result<Starting> {
+    pub fn start(
+        &self,
+        at: usize,
+        starts: u64,
+        discovery: SocketAddr,
+        known: Value,
+    ) -> Result<(Balancer, Starting)> {
         let own = self.folder.path().join(format!("n{at}-{starts}"));
         let scratch = own.join("tmp");
         let file = own.join("config.json");
@@ -100,7 +121,7 @@
             })
             .with_context(|| format!("{}", file.display()))?;
         let since = Instant::now();
-        let child = Command::new(self.path)
+        let mut child = Command::new(self.path)
             .env_clear()
             .env("LB_NAME", format!("n{at}"))
             .env("LB_CONFIG", file)
@@ -111,7 +132,9 @@
             .kill_on_drop(true)
             .spawn()
             .with_context(|| format!("cannot start {}", self.path.display()))?;
-        Ok(Starting { at, child, since })
+        let log = BufReader::new(child.stderr.take().context("a balancer without a log")?).lines();
+        let process = child.id().context("a balancer without a number")?;
+        Ok((Balancer { at, child, process, phase: Phase::Starting }, Starting { at, since, log }))
     }
 
     /// The configuration file, in the form that the deployment has.
@@ -153,34 +176,30 @@
 
 impl Starting {
     /// Waits until it is ready.
-    pub async fn ready(mut self) -> Result<Balancer> {
+    pub async fn ready(self) -> Result<Ready> {
         let (at, since) = (self.at, self.since);
         match timeout(READY_PATIENCE, self.serves()).await {
-            Ok(address) => {
-                let (address, ready_after) = (address?, since.elapsed());
-                let process = self.child.id().with_context(|| format!("balancer {at} has ended"))?;
-                Ok(Balancer { at, child: self.child, process, address, ready_after })
-            }
+            Ok(address) => Ok(Ready { address: address?, after: since.elapsed() }),
             Err(_) => bail!("balancer {at} is not ready after {READY_PATIENCE:?}"),
         }
     }
 
-    async fn serves(&mut self) -> Result<SocketAddr> {
-        let log = self.child.stderr.take().context("no log")?;
-        let mut log = BufReader::new(log).lines();
-        let at = self.at;
+    async fn serves(self) -> Result<SocketAddr> {
+        let Self { at, mut log, .. } = self;
         let line = log.next_line().await.ok().flatten().unwrap_or_default();
         let address = line.split_once("listening on ").and_then(|(_, address)| address.trim().parse().ok());
         let Some(address) = address else { bail!("balancer {at} did not start: {line}") };
-        tokio::spawn(pass_on(at, log));
-        loop {
-            if let Some(status) = self.child.try_wait().context("cannot look at a balancer")? {
-                bail!("balancer {at} ended before it was ready: {status}");
+        let ended = pass_on(at, log);
+        let is_ready = async {
+            while !is_ready(address).await.unwrap_or(false) {
+                sleep(LOOK_EVERY).await;
             }
-            if is_ready(address).await.unwrap_or(false) {
-                return Ok(address);
-            }
-            sleep(LOOK_EVERY).await;
+        };
+        let mut ended = tokio::spawn(ended);
+        tokio::select! {
+            biased;
+            () = is_ready => Ok(address),
+            _ = &mut ended => bail!("balancer {at} ended before it was ready"),
         }
     }
 }
@@ -196,6 +215,7 @@
     Ok(status?.is_success())
 }
 
+/// Passes its log on until it ends, as it does with the process.
 async fn pass_on(at: usize, mut log: Lines<BufReader<ChildStderr>>) {
     while let Ok(Some(line)) = log.next_line().await {
         tracing::info!(balancer = at, "{line}");
@@ -207,16 +227,24 @@
         self.process
     }
 
+    /// It is ready, and from now on may not end by itself.
+    pub fn serves(&mut self) {
+        self.phase = Phase::Serving;
+    }
+
     /// Fails if it has ended by itself.
     pub fn check(&mut self) -> Result<()> {
         match self.child.try_wait().context("cannot look at a balancer")? {
-            Some(status) => bail!("balancer {} ended by itself: {status}", self.at),
-            None => Ok(()),
+            Some(status) if self.phase == Phase::Serving => {
+                bail!("balancer {} ended by itself: {status}", self.at)
+            }
+            _ => Ok(()),
         }
     }
 
     /// Sends SIGTERM.
-    pub fn terminate(&self) {
+    pub fn terminate(&mut self) {
+        self.phase = Phase::Leaving;
         // Not reaped yet, so the number is still its own.
         let process = self.child.id().and_then(|id| rustix::process::Pid::from_raw(id.cast_signed()));
         if let Some(process) = process {
@@ -224,9 +252,9 @@
         }
     }
 
-    /// Waits until it has ended.
-    pub async fn ended(&mut self) {
-        self.child.wait().await.ok();
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
     }
 
     /// Kills it and waits until it is gone.
--- a/scale/src/real/config.rs
+++ b/scale/src/real/config.rs
@@ -1,6 +1,6 @@
 //! The `[real]` table of a scenario.
 
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use std::time::Duration;
 
 /// Most balancers of a run, and most processes that a run may have.
@@ -8,14 +8,14 @@
 const MOST_TARGETS: usize = 1024;
 const MOST_CLASSES: usize = 1024;
 /// Memory that all balancers may have together, in MB.
-const MOST_MEMORY: usize = 12_000;
+pub(super) const MOST_MEMORY: usize = 12_000;
 /// Calls of a run, direct ones included: bounds the request loop.
 const MOST_CALLS: f64 = 10e6;
 /// Length of a phase, in seconds.
 const MOST_SECONDS: f64 = 600.0;
 
 /// What is started, and what it goes through. Times are in seconds unless the name says otherwise.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Config {
     /// Real balancers, 1 to 32.
@@ -61,7 +61,7 @@
 }
 
 /// How lists come to a balancer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ListsCome {
     /// An agent beside it has them at once.
@@ -71,7 +71,7 @@
 }
 
 /// Discovery falls silent for a while.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DiscoveryDown {
     /// Seconds after the measured calls begin.
@@ -81,7 +81,7 @@
 }
 
 /// Each balancer is stopped by SIGTERM and replaced, one after another.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RollingRestart {
     /// Seconds after the measured calls begin.
@@ -89,6 +89,14 @@
     /// Seconds between one that is ready and the next that is stopped.
     #[serde(default)]
     pub pause_s: f64,
+    /// Seconds for which the front still sends to one that was told to stop.
+    #[serde(default = "front_lag")]
+    pub front_lag_s: f64,
+}
+
+/// The front of the protocol takes 0.2 to 0.4 s.
+fn front_lag() -> f64 {
+    0.3
 }
 
 impl Default for Config {
@@ -158,7 +166,9 @@
             seconds("discovery_down.", &[("at_s", down.at_s), ("for_s", down.for_s)])?;
         }
         if let Some(restart) = &self.rolling_restart {
-            seconds("rolling_restart.", &[("at_s", restart.at_s), ("pause_s", restart.pause_s)])?;
+            let figures =
+                [("at_s", restart.at_s), ("pause_s", restart.pause_s), ("front_lag_s", restart.front_lag_s)];
+            seconds("rolling_restart.", &figures)?;
             if self.balancers < 2 {
                 return Err("`balancers` is 1: nobody would serve during `rolling_restart`".into());
             }
--- a/scale/src/real/discovery.rs
+++ b/scale/src/real/discovery.rs
@@ -51,6 +51,8 @@
     rev: u64,
     targets: Vec<Target>,
     down: bool,
+    /// Changes that someone was missing when it came up again.
+    kept_back: usize,
     /// One for each version after the first.
     changes: Vec<Change>,
     followers: Vec<Follower>,
@@ -103,7 +105,7 @@
         let targets =
             listed.into_iter().map(|listed| Target { listed, draining: false, rev: FIRST }).collect();
         let followers = vec![Follower::default(); balancers];
-        let state = State { rev: FIRST, targets, down: false, changes: Vec::new(), followers };
+        let state = State { rev: FIRST, targets, down: false, kept_back: 0, changes: Vec::new(), followers };
         let meters = (0..balancers).map(|_| Meter::default()).collect();
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: watch::Sender::new(()), meters });
         let mut agents = Vec::new();
@@ -163,11 +165,12 @@
         if !down {
             // Nobody could have known before.
             let now = Instant::now();
-            state
-                .changes
-                .iter_mut()
-                .filter(|change| change.missing > 0)
-                .for_each(|change| change.since = now);
+            let mut kept_back = 0;
+            for change in state.changes.iter_mut().filter(|change| change.missing > 0) {
+                change.since = now;
+                kept_back += 1;
+            }
+            state.kept_back += kept_back;
         }
         drop(state);
         self.shared.changed.send_replace(());
@@ -190,6 +193,11 @@
         lock(&self.shared.state).changes.iter().map(|change| change.followed).collect()
     }
 
+    /// Changes that a time without discovery has kept from someone.
+    pub fn kept_back(&self) -> usize {
+        lock(&self.shared.state).kept_back
+    }
+
     /// What each balancer's calls have cost so far.
     pub fn costs(&self) -> Vec<Cost> {
         let cost = |meter: &Meter| Cost {
--- a/scale/src/real/measure.rs
+++ b/scale/src/real/measure.rs
@@ -1,11 +1,12 @@
 //! What is measured of a run with real processes, and the figures that come of it.
 
 use super::client::{Tallies, Tally};
-use super::config::Config;
+use super::config::{Config, MOST_MEMORY};
 use super::discovery::{Cost, Discovery};
 use super::upstream::Upstreams;
 use super::{Fleet, lock};
 use crate::report::{Outcome, Table, number, peak_memory};
+use anyhow::{Result, bail};
 use std::collections::BTreeMap;
 use std::fs;
 use std::sync::Mutex;
@@ -93,6 +94,17 @@
         }
     }
 
+    /// Fails where all processes together may hold more memory than a run is allowed.
+    pub fn check_memory(&self) -> Result<()> {
+        let peaks = lock(&self.peaks);
+        let living = self.fleet.processes().into_iter().flatten().filter_map(|process| peaks.get(&process));
+        let memory = living.map(|peak| peak.memory_mb).sum::<f64>() + peak_memory("self").unwrap_or(0.0);
+        match memory > MOST_MEMORY as f64 {
+            true => bail!("the run holds {memory:.0} MB, more than {MOST_MEMORY} MB"),
+            false => Ok(()),
+        }
+    }
+
     /// What each process has held at most.
     pub fn into_peaks(self) -> Vec<Peak> {
         self.peaks.into_inner().unwrap_or_else(|broken| broken.into_inner()).into_values().collect()
@@ -181,6 +193,9 @@
             figures.add("changes", followed.len() as f64);
             figures.add("changes_not_followed", followed.iter().filter(|time| time.is_none()).count() as f64);
         }
+        if config.discovery_down.is_some() {
+            figures.add("changes_kept_back", discovery.kept_back() as f64);
+        }
         if let Some(last) = times.len().checked_sub(1) {
             figures.add("change_followed_p50_ms", times[last / 2]);
             figures.add("change_followed_p99_ms", times[(last as f64 * 0.99).ceil() as usize]);
