--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -153,50 +153,40 @@
         Ok(Self { path: path.into(), table, scenario })
     }
 
-    /// The scenario with other values for some keys.
+    /// The scenario with other values for some keys, which must be its mode's.
     pub fn with(&self, values: &[(String, Value)]) -> Result<Scenario, ScenarioError> {
-        let mut table = self.table.clone();
-        let mode = self.scenario.mode.to_string();
-        let error = |key: &str, value: &Value, message: &str| {
-            ScenarioError(format!("{}: --over {key}={value}: {}", self.path.display(), one_line(message)))
+        // Names the value that a path leads to, or all of them where it leads to none.
+        let error = |path: &str, message: &str| {
+            let leads = |key: &str| {
+                path.strip_prefix(key).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+            };
+            let any = values.iter().any(|(key, _)| leads(key));
+            let at_fault = values.iter().filter(|(key, _)| !any || leads(key));
+            let over: String = at_fault.map(|(key, value)| format!("--over {key}={value} ")).collect();
+            ScenarioError(format!("{}: {}: {}", self.path.display(), over.trim_end(), one_line(message)))
         };
+        let mode = self.scenario.mode.to_string();
+        let mut table = self.table.clone();
         for (key, value) in values {
-            let parts: Vec<&str> = key.split('.').collect();
+            let mut parts: Vec<&str> = key.split('.').collect();
             if parts[0] != mode {
-                return Err(error(key, value, &format!("the scenario runs `{mode}`, not `{}`", parts[0])));
+                return Err(error(key, &format!("the scenario runs `{mode}`, not `{}`", parts[0])));
             }
-            let (last, tables) = parts.split_last().expect("a split has a part");
+            let last = parts.pop().unwrap_or_default();
             let mut inner = &mut table;
-            for part in tables {
-                let next = inner.entry(*part).or_insert_with(|| Value::Table(Table::new()));
-                inner =
-                    next.as_table_mut().ok_or_else(|| error(key, value, &format!("`{part}` is no table")))?;
+            for part in parts {
+                let next = inner.entry(part).or_insert_with(|| Value::Table(Table::new()));
+                inner = next.as_table_mut().ok_or_else(|| error(key, &format!("`{part}` is no table")))?;
             }
-            inner.insert((*last).into(), value.clone());
+            inner.insert(last.into(), value.clone());
         }
-        let (key, value) = match values {
-            [] => return Ok(self.scenario.clone()),
-            values => {
-                // Of several, the one at fault is the last that is needed for it.
-                let (key, value) = &values[values.len() - 1];
-                (key, value)
-            }
-        };
-        let scenario: Scenario = serde_path_to_error::deserialize(Value::Table(table)).map_err(|fault| {
+        let scenario = serde_path_to_error::deserialize(Value::Table(table)).map_err(|fault| {
             let path = fault.path().to_string();
-            let (key, value) = values
-                .iter()
-                .find(|(key, _)| path.starts_with(key))
-                .map_or((key, value), |at| (&at.0, &at.1));
-            error(key, value, &describe(&path, fault.inner().message(), None))
+            error(&path, &describe(&path, fault.inner().message(), None))
         })?;
         check(&scenario).map_err(|(section, message)| {
-            let at = values.iter().find(|(key, _)| {
-                named(&message)
-                    .is_some_and(|named| key.strip_prefix(section.as_str()) == Some(&format!(".{named}")))
-            });
-            let (key, value) = at.map_or((key, value), |at| (&at.0, &at.1));
-            error(key, value, &message)
+            let path = named(&message).map_or(section.clone(), |key| format!("{section}.{key}"));
+            error(&path, &message)
         })?;
         Ok(scenario)
     }
--- a/scale/tests/cli.rs
+++ b/scale/tests/cli.rs
@@ -103,6 +103,8 @@
     has(&line, &["s.toml", "--over real.rats=1", "unknown field `rats`"]);
     let line = refused(REAL, &["sweep", "s.toml", "--over", "real.balancers=1,64"]);
     has(&line, &["--over real.balancers=64", "not 1 to 32"]);
+    let line = refused(REAL, &["sweep", "s.toml", "--over", "real.balancers=64", "--over", "real.rate=1"]);
+    has(&line, &["--over real.balancers=64: `balancers` is 64"]);
     let line = refused(REAL, &["sweep", "s.toml", "--over", "real.balancers=1,two"]);
     has(&line, &["--over real.balancers=\"two\"", "invalid type"]);
     let line = refused(REAL, &["sweep", "s.toml", "--over", "hollow.x=1"]);
