--- /dev/null
+++ b/scale/src/discovery.rs
@@ -0,0 +1,425 @@
+//! Stands in for discovery and its agents on the virtual clock, as the protocol describes them.
+//!
+//! Pushed lists reach a balancer through an agent on its own machine, each some time after discovery has them.
+//! Where lists are asked for, a balancer keeps a watch on discovery itself: a call waits there for what is new,
+//! and the next one follows on its answer. Discovery works on the calls of all balancers in turn.
+
+use crate::engine::{Queue, SECOND, Time, millis, seconds};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use woadstall::api::ListEntry;
+
+/// How long a watch waits, how long one may be silent beyond that, and the time in which a connection comes up:
+/// those of the balancer's own client.
+const WATCH_WAIT: Time = 2 * SECOND;
+const WATCH_SILENCE: Time = SECOND;
+const CONNECT: Time = SECOND / 2;
+/// Pause before the next call of a watch that told nothing new.
+const WATCH_PAUSE: Time = SECOND / 20;
+
+/// The settings of the stand-in.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct DiscoveryConfig {
+    /// Lists are asked for, not pushed.
+    pub ask: bool,
+    /// Time from a change to its being listed, in seconds: at least and at most.
+    pub notice_min_s: f64,
+    pub notice_max_s: f64,
+    /// The same for a machine that has fallen silent.
+    pub silent_notice_min_s: f64,
+    pub silent_notice_max_s: f64,
+    /// Time from a list to the agent that pushes it on, in milliseconds: at least and at most.
+    pub push_min_ms: f64,
+    pub push_max_ms: f64,
+    /// One way from a balancer to discovery, in milliseconds.
+    pub network_ms: f64,
+    /// What a new call, and one that goes on with a watch, cost a machine of discovery, in microseconds.
+    pub call_us: f64,
+    pub watch_us: f64,
+    /// Machines that discovery runs on.
+    pub machines: f64,
+    /// A balancer that asks counts as told after this time, in seconds.
+    pub ask_within_s: f64,
+    /// Changes of lists a day, beside those that faults bring about.
+    pub changes_per_day: f64,
+}
+
+impl Default for DiscoveryConfig {
+    fn default() -> Self {
+        Self {
+            ask: false,
+            notice_min_s: 0.2,
+            notice_max_s: 1.5,
+            silent_notice_min_s: 3.0,
+            silent_notice_max_s: 6.0,
+            push_min_ms: 20.0,
+            push_max_ms: 1000.0,
+            network_ms: 0.5,
+            call_us: 500.0,
+            watch_us: 10.0,
+            machines: 4.0,
+            ask_within_s: 10.0,
+            changes_per_day: 1600.0,
+        }
+    }
+}
+
+/// An event of discovery; the number tells a call from those before it.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// What there is reaches a balancer.
+    Told(u32, u32),
+    /// A call of a balancer reaches discovery.
+    Asked(u32, u32),
+    /// The wait of a call is over.
+    WaitOver(u32, u32),
+    /// A balancer's call got no answer in time.
+    Silent(u32, u32),
+    /// A balancer makes its next call.
+    Next(u32, u32),
+}
+
+/// What comes of an event for a balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// Nothing.
+    Nothing,
+    /// The entries that changed, perhaps none.
+    Changes(Vec<ListEntry>),
+    /// The call failed.
+    Failed,
+}
+
+/// A change of a service's list.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    /// Position of the entry.
+    entry: usize,
+    happened: Time,
+    listed: Time,
+}
+
+#[derive(Debug, Default)]
+struct List {
+    entries: Vec<ListEntry>,
+    /// Its length is the list's version.
+    changes: Vec<Change>,
+    /// Calls that wait for news of it, in the order in which they came.
+    waiting: Vec<(u32, u32)>,
+    /// The balancers that it is for.
+    watchers: Vec<usize>,
+}
+
+/// What discovery or the agent holds of a balancer.
+#[derive(Clone, Debug, Default)]
+struct Watcher {
+    service: usize,
+    /// The version that it has been told.
+    version: usize,
+    /// The number of its call, or of the push on its way.
+    number: u32,
+    busy: bool,
+    alive: bool,
+    cut: bool,
+    /// Since when it can be told.
+    reachable_from: Time,
+    /// Its call goes on with a watch.
+    continues: bool,
+}
+
+/// Times from a change until balancers follow it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Followed {
+    /// Changes told to a balancer each.
+    pub count: u64,
+    /// From the change itself, in nanoseconds: the longest, and the sum.
+    pub longest: Time,
+    pub sum: u128,
+    /// The longest from when discovery had it and could be reached.
+    pub longest_told: Time,
+}
+
+/// Discovery, and the agents of all balancers.
+#[derive(Debug)]
+pub struct Discovery {
+    config: DiscoveryConfig,
+    rng: ChaCha8Rng,
+    lists: Vec<List>,
+    watchers: Vec<Watcher>,
+    down: bool,
+    /// When it is done with the calls that it has.
+    busy_until: Time,
+    /// Calls and pushes, and entries told with them.
+    pub messages: u64,
+    pub entries_told: u64,
+    /// Calls that got no answer.
+    pub failures: u64,
+    pub followed: Followed,
+}
+
+impl Discovery {
+    /// Discovery with a list for each service, and balancers that know them: each by the service it sends to.
+    pub fn new(
+        config: DiscoveryConfig,
+        rng: ChaCha8Rng,
+        lists: Vec<Vec<ListEntry>>,
+        watchers: impl Iterator<Item = usize>,
+    ) -> Self {
+        let watcher = |service| Watcher { service, alive: true, ..Watcher::default() };
+        let watchers: Vec<Watcher> = watchers.map(watcher).collect();
+        let list = |entries| List { entries, ..List::default() };
+        let mut lists: Vec<List> = lists.into_iter().map(list).collect();
+        for (at, watcher) in watchers.iter().enumerate() {
+            lists[watcher.service].watchers.push(at);
+        }
+        Self {
+            config,
+            rng,
+            lists,
+            watchers,
+            down: false,
+            busy_until: 0,
+            messages: 0,
+            entries_told: 0,
+            failures: 0,
+            followed: Followed::default(),
+        }
+    }
+
+    /// The list of a service as it stands.
+    pub fn list(&self, service: usize) -> &[ListEntry] {
+        &self.lists[service].entries
+    }
+
+    /// When a change that happens now is listed; later if its machine has just fallen silent.
+    pub fn notice(&mut self, now: Time, silent: bool) -> Time {
+        let (least, most) = match silent {
+            false => (self.config.notice_min_s, self.config.notice_max_s),
+            true => (self.config.silent_notice_min_s, self.config.silent_notice_max_s),
+        };
+        now + seconds(least + (most - least) * self.rng.random::<f64>())
+    }
+
+    /// Lists a change that happened at a time, and sets out to tell all that can be told.
+    pub fn change<E: Copy + From<Event>>(
+        &mut self,
+        service: usize,
+        entry: usize,
+        change: impl FnOnce(&mut ListEntry),
+        happened: Time,
+        queue: &mut Queue<E>,
+    ) {
+        let list = &mut self.lists[service];
+        change(&mut list.entries[entry]);
+        list.changes.push(Change { entry, happened, listed: queue.now() });
+        if self.config.ask {
+            self.answer_waiting(service, queue);
+        } else {
+            for at in 0..self.lists[service].watchers.len() {
+                self.push(self.lists[service].watchers[at], queue);
+            }
+        }
+    }
+
+    /// Sets out to tell a balancer what it does not know, where lists are pushed.
+    fn push<E: Copy + From<Event>>(&mut self, instance: usize, queue: &mut Queue<E>) {
+        let down = self.down;
+        let watcher = &mut self.watchers[instance];
+        let news = watcher.version < self.lists[watcher.service].changes.len();
+        if self.config.ask || down || watcher.cut || !watcher.alive || watcher.busy || !news {
+            return;
+        }
+        let (least, most) = (self.config.push_min_ms, self.config.push_max_ms);
+        watcher.busy = true;
+        watcher.number += 1;
+        let at = queue.now() + millis(least + (most - least) * self.rng.random::<f64>());
+        queue.push(at, Event::Told(instance as u32, watcher.number).into());
+    }
+
+    /// Answers the calls that wait for news of a service.
+    fn answer_waiting<E: Copy + From<Event>>(&mut self, service: usize, queue: &mut Queue<E>) {
+        if self.down {
+            return;
+        }
+        for (instance, number) in std::mem::take(&mut self.lists[service].waiting) {
+            let watcher = &self.watchers[instance as usize];
+            if watcher.number == number && !watcher.cut && watcher.alive {
+                self.answer(instance, number, queue);
+            }
+        }
+    }
+
+    /// A balancer subscribes: it makes its first call, or the first after a failure.
+    pub fn watch<E: Copy + From<Event>>(&mut self, instance: usize, queue: &mut Queue<E>) {
+        let watcher = &mut self.watchers[instance];
+        if self.config.ask && watcher.alive && !watcher.busy {
+            watcher.busy = true;
+            watcher.continues = false;
+            self.call(instance as u32, queue);
+        }
+    }
+
+    fn call<E: Copy + From<Event>>(&mut self, instance: u32, queue: &mut Queue<E>) {
+        let watcher = &mut self.watchers[instance as usize];
+        watcher.number += 1;
+        self.messages += 1;
+        let (number, now) = (watcher.number, queue.now());
+        // A connection that exists goes silent with its call, a new one does not come up.
+        let patience = if watcher.continues { WATCH_WAIT + WATCH_SILENCE } else { CONNECT };
+        let reachable = !self.down && !watcher.cut;
+        if reachable {
+            queue.push(now + millis(self.config.network_ms), Event::Asked(instance, number).into());
+        }
+        let patience = if reachable { WATCH_WAIT + WATCH_SILENCE } else { patience };
+        queue.push(now + patience, Event::Silent(instance, number).into());
+    }
+
+    fn answer<E: Copy + From<Event>>(&mut self, instance: u32, number: u32, queue: &mut Queue<E>) {
+        let continues = self.watchers[instance as usize].continues;
+        let cost = if continues { self.config.watch_us } else { self.config.call_us };
+        self.busy_until =
+            self.busy_until.max(queue.now()) + (cost * 1e3 / self.config.machines.max(1.0)) as Time;
+        let at = self.busy_until + millis(self.config.network_ms);
+        queue.push(at, Event::Told(instance, number).into());
+    }
+
+    /// Takes an event; tells the balancer that it concerns, and what that one hears.
+    pub fn handle<E: Copy + From<Event>>(&mut self, event: Event, queue: &mut Queue<E>) -> (usize, Told) {
+        let (Event::Told(instance, number)
+        | Event::Asked(instance, number)
+        | Event::WaitOver(instance, number)
+        | Event::Silent(instance, number)
+        | Event::Next(instance, number)) = event;
+        let at = instance as usize;
+        let watcher = &self.watchers[at];
+        if watcher.number != number || !watcher.alive || !watcher.busy {
+            return (at, Told::Nothing);
+        }
+        let reachable = !self.down && !watcher.cut;
+        let (service, version) = (watcher.service, watcher.version);
+        match event {
+            Event::Told(..) if reachable => return (at, self.on_told(instance, queue)),
+            Event::Told(..) if !self.config.ask => self.watchers[at].busy = false,
+            Event::Asked(..) if reachable => {
+                if version < self.lists[service].changes.len() {
+                    self.answer(instance, number, queue);
+                } else {
+                    self.lists[service].waiting.push((instance, number));
+                    queue.push(queue.now() + WATCH_WAIT, Event::WaitOver(instance, number).into());
+                }
+            }
+            Event::WaitOver(..) if reachable => {
+                let waiting = &mut self.lists[service].waiting;
+                if let Some(place) = waiting.iter().position(|&call| call == (instance, number)) {
+                    waiting.remove(place);
+                    self.answer(instance, number, queue);
+                }
+            }
+            Event::Silent(..) => {
+                let watcher = &mut self.watchers[at];
+                (watcher.busy, watcher.continues) = (false, false);
+                watcher.number += 1;
+                self.lists[service].waiting.retain(|&call| call != (instance, number));
+                self.failures += 1;
+                return (at, Told::Failed);
+            }
+            Event::Next(..) => self.call(instance, queue),
+            Event::Told(..) | Event::Asked(..) | Event::WaitOver(..) => {} // it hears nothing, and gives up
+        }
+        (at, Told::Nothing)
+    }
+
+    fn on_told<E: Copy + From<Event>>(&mut self, instance: u32, queue: &mut Queue<E>) -> Told {
+        let now = queue.now();
+        let watcher = &mut self.watchers[instance as usize];
+        let list = &self.lists[watcher.service];
+        let news = &list.changes[watcher.version..];
+        for change in news {
+            let age = now - change.happened;
+            let followed = &mut self.followed;
+            followed.count += 1;
+            followed.sum += u128::from(age);
+            followed.longest = followed.longest.max(age);
+            let told = now.saturating_sub(change.listed.max(watcher.reachable_from));
+            followed.longest_told = followed.longest_told.max(told);
+        }
+        let mut changed: Vec<usize> = news.iter().map(|change| change.entry).collect();
+        changed.sort_unstable();
+        changed.dedup();
+        let entries: Vec<ListEntry> = changed.into_iter().map(|entry| list.entries[entry].clone()).collect();
+        watcher.version = list.changes.len();
+        watcher.number += 1;
+        self.entries_told += entries.len() as u64;
+        if self.config.ask {
+            watcher.continues = true;
+            let pause = if entries.is_empty() { WATCH_PAUSE } else { 0 };
+            queue.push(now + pause, Event::Next(instance, watcher.number).into());
+        } else {
+            watcher.busy = false;
+            self.messages += 1;
+        }
+        Told::Changes(entries)
+    }
+
+    /// Discovery falls silent, or answers again. Calls that wait with it are dropped.
+    pub fn set_down<E: Copy + From<Event>>(&mut self, down: bool, queue: &mut Queue<E>) {
+        self.down = down;
+        if down {
+            self.lists.iter_mut().for_each(|list| list.waiting.clear());
+        } else {
+            let now = queue.now();
+            self.watchers.iter_mut().for_each(|watcher| watcher.reachable_from = now);
+            (0..self.watchers.len()).for_each(|instance| self.push(instance, queue));
+        }
+    }
+
+    /// A balancer is cut off from discovery, or not any more.
+    pub fn set_cut<E: Copy + From<Event>>(&mut self, instance: usize, cut: bool, queue: &mut Queue<E>) {
+        let watcher = &mut self.watchers[instance];
+        watcher.cut = cut;
+        if cut {
+            let at = instance as u32;
+            self.lists[watcher.service].waiting.retain(|&(waiting, _)| waiting != at);
+        } else {
+            watcher.reachable_from = queue.now();
+            self.push(instance, queue);
+        }
+    }
+
+    /// A balancer has ended.
+    pub fn gone(&mut self, instance: usize) {
+        let watcher = &mut self.watchers[instance];
+        (watcher.alive, watcher.busy, watcher.continues) = (false, false, false);
+        watcher.number += 1;
+        let at = instance as u32;
+        self.lists[watcher.service].waiting.retain(|&(waiting, _)| waiting != at);
+    }
+
+    /// A balancer has started, and asks for its first list: when it has it. With discovery silent it
+    /// waits no longer than for a connection; the list that it is configured with then is taken to be as good.
+    pub fn first_list(&mut self, instance: usize, now: Time) -> Time {
+        let watcher = &mut self.watchers[instance];
+        watcher.alive = true;
+        watcher.reachable_from = now;
+        watcher.version = self.lists[watcher.service].changes.len();
+        self.messages += 1;
+        self.entries_told += self.lists[watcher.service].entries.len() as u64;
+        if self.down || watcher.cut {
+            return now + CONNECT;
+        }
+        if !self.config.ask {
+            return now + millis(self.config.push_min_ms);
+        }
+        self.busy_until =
+            self.busy_until.max(now) + (self.config.call_us * 1e3 / self.config.machines.max(1.0)) as Time;
+        self.busy_until + 2 * millis(self.config.network_ms)
+    }
+
+    /// Changes that balancers which live and can be reached have not been told.
+    pub fn untold(&self) -> usize {
+        let reachable = self.watchers.iter().filter(|watcher| watcher.alive && !watcher.cut && !self.down);
+        reachable.map(|watcher| self.lists[watcher.service].changes.len() - watcher.version).sum()
+    }
+}
--- /dev/null
+++ b/scale/src/hollow.rs
@@ -0,0 +1,1603 @@
+//! The project's own decision module, unchanged, for a whole fleet in one process on virtual time.
+//!
+//! Each module instance gets the events, and has its actions carried out, as the real balancer does it; all around
+//! it is hollow. The same configuration and seed always give the same outcome.
+
+use crate::discovery::{self, Discovery, DiscoveryConfig, Told};
+use crate::engine::{Key, Queue, SECOND, Slab, Time, millis, seconds};
+use crate::faults::{Faults, RollingRestart, Span, Step, TierFault, ZoneLost};
+use crate::load::{self, Arrival, Load};
+use crate::report::{self, Table};
+use crate::topology::{Instance, Owner, Topology};
+use hdrhistogram::Histogram;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, LogNormal};
+use serde::Deserialize;
+use std::collections::{HashMap, VecDeque};
+use std::ops::Range;
+use woadstall::Balancer;
+use woadstall::api::{
+    Action, Class, Demand, End, Event as ModuleEvent, Lifecycle, ListEntry, Outcome, RequestId, ServerId,
+    Settings, ZoneId,
+};
+
+/// Where the virtual clock starts: a server may have started long before.
+const START: Time = 1_000 * SECOND;
+/// Steps of the window in which the calls of a cold server are counted.
+const FALL_STEPS: usize = 10;
+/// How often progress is told of.
+const PROGRESS_EVERY: Time = SECOND / 10;
+
+/// The form of the call graph.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    /// One service a tier; each call of one leads to one of the next.
+    Chain,
+    /// Services of unequal size that call some of the deeper ones.
+    #[default]
+    Graph,
+}
+
+/// A run of the hollow mode. Times of faults count from the start of the run, the warm-up included.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// The form of the call graph.
+    pub shape: Shape,
+    /// Upstreams of a graph, each with its balancer.
+    pub balancers: usize,
+    /// Services of a graph.
+    pub services: usize,
+    /// Upstreams of each tier of a chain.
+    pub servers_per_tier: usize,
+    /// Tiers: so many calls below each other at most.
+    pub depth: u32,
+    /// Zones, and the regions that they lie in.
+    pub zones: usize,
+    pub regions: usize,
+    /// Front balancers, that the clients call.
+    pub fronts: usize,
+    /// Calls a second over all tiers, if none fails.
+    pub rate: f64,
+    /// Requests of clients a second; 0 to work them out from `rate`.
+    pub requests: f64,
+    /// Time that is measured, and time before that, in seconds.
+    pub duration_s: f64,
+    pub warmup_s: f64,
+    /// Calls that a call leads to, on average, in a graph.
+    pub calls_per_call: f64,
+    /// Own work of a service on a call, in milliseconds: the median over the services, and the deviation of its
+    /// logarithm.
+    pub service_ms: f64,
+    pub service_spread: f64,
+    /// Deviation over mean of the work of single calls.
+    pub work_variation: f64,
+    /// Part of its time that an upstream works, if calls are spread evenly.
+    pub utilisation: f64,
+    /// Calls that wait at an upstream before it turns others away.
+    pub queue_limit: usize,
+    /// Classes of requests: they differ in what repeating does.
+    pub classes: usize,
+    /// Part of the requests with a key, and of those unsafe to repeat, where there are such classes.
+    pub keyed_share: f64,
+    pub unsafe_share: f64,
+    /// Time within which an answer is worth something, and for which clients wait, in milliseconds.
+    pub aim_ms: f64,
+    pub deadline_ms: f64,
+    /// Most attempts of a balancer for one request.
+    pub max_attempts: u32,
+    /// What a crossing of zones costs, as part of a request's worth.
+    pub cross_price: f64,
+    /// Idle connections are closed after this time, in seconds; a new one comes up in this time, in milliseconds.
+    pub conn_idle_s: f64,
+    pub connect_timeout_ms: f64,
+    /// Part of the upstreams that have just started when the run begins.
+    pub cold_share: f64,
+    /// Part of its capacity that a cold server starts with, and the time in which it is warm, in seconds.
+    pub start_capacity: f64,
+    pub ramp_s: f64,
+    /// A cold server sent more than this multiple of what it can do falls over, and the time over which that is
+    /// counted, in seconds.
+    pub tip_multiple: f64,
+    pub fall_s: f64,
+    /// One way between two machines, in milliseconds.
+    pub same_zone_ms: f64,
+    pub cross_zone_ms: f64,
+    pub cross_region_ms: f64,
+    /// What a balancer adds to a call and to its answer each, in microseconds.
+    pub balancer_us: f64,
+    /// Time until clients leave a front balancer that is lost, in seconds.
+    pub front_notice_s: f64,
+    /// Discovery and its agents.
+    pub discovery: DiscoveryConfig,
+    /// A tier whose calls fail.
+    pub tier_fault: TierFault,
+    /// A zone that is lost.
+    pub zone_lost: ZoneLost,
+    /// The regions are cut from each other; discovery is in the first.
+    pub region_cut: Span,
+    /// Discovery is down.
+    pub discovery_down: Span,
+    /// Upstreams are replaced one after another.
+    pub rolling_restart: RollingRestart,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            shape: Shape::Graph,
+            balancers: 870,
+            services: 150,
+            servers_per_tier: 6,
+            depth: 21,
+            zones: 8,
+            regions: 2,
+            fronts: 16,
+            rate: 92_000.0,
+            requests: 0.0,
+            duration_s: 1.0,
+            warmup_s: 1.0,
+            calls_per_call: 0.85,
+            service_ms: 4.0,
+            service_spread: 0.4,
+            work_variation: 0.5,
+            utilisation: 0.5,
+            queue_limit: 64,
+            classes: 3,
+            keyed_share: 0.2,
+            unsafe_share: 0.1,
+            aim_ms: 1000.0,
+            deadline_ms: 2000.0,
+            max_attempts: 3,
+            cross_price: 0.04,
+            conn_idle_s: 10.0,
+            connect_timeout_ms: 100.0,
+            cold_share: 0.0,
+            start_capacity: 0.32,
+            ramp_s: 8.6,
+            tip_multiple: 4.0,
+            fall_s: 3.0,
+            same_zone_ms: 0.2,
+            cross_zone_ms: 0.5,
+            cross_region_ms: 3.0,
+            balancer_us: 50.0,
+            front_notice_s: 2.0,
+            discovery: DiscoveryConfig::default(),
+            tier_fault: TierFault::default(),
+            zone_lost: ZoneLost::default(),
+            region_cut: Span::default(),
+            discovery_down: Span::default(),
+            rolling_restart: RollingRestart::default(),
+        }
+    }
+}
+
+impl Config {
+    /// Refuses what can't be run; the text names the key and its value.
+    pub fn check(&self) -> Result<(), String> {
+        let counts = [
+            ("balancers", self.balancers, 1, 100_000),
+            ("services", self.services, 1, 10_000),
+            ("servers_per_tier", self.servers_per_tier, 1, 10_000),
+            ("depth", self.depth as usize, 1, 64),
+            ("zones", self.zones, 1, 64),
+            ("regions", self.regions, 1, self.zones),
+            ("fronts", self.fronts, 1, 10_000),
+            ("queue_limit", self.queue_limit, 1, 1_000_000),
+            ("classes", self.classes, 1, 1_000),
+            ("max_attempts", self.max_attempts as usize, 1, 10),
+        ];
+        for (key, value, least, most) in counts {
+            if !(least..=most).contains(&value) {
+                return Err(format!("`{key}` is {value}, not between {least} and {most}"));
+            }
+        }
+        let discovery = &self.discovery;
+        let figures = [
+            ("rate", self.rate, 0.001, 1e8),
+            ("requests", self.requests, 0.0, 1e8),
+            ("duration_s", self.duration_s, 0.001, 86_400.0),
+            ("warmup_s", self.warmup_s, 0.0, 86_400.0),
+            ("calls_per_call", self.calls_per_call, 0.0, 2.0),
+            ("service_ms", self.service_ms, 0.001, 60_000.0),
+            ("service_spread", self.service_spread, 0.0, 3.0),
+            ("work_variation", self.work_variation, 0.0, 10.0),
+            ("utilisation", self.utilisation, 0.001, 10.0),
+            ("keyed_share", self.keyed_share, 0.0, 1.0),
+            ("unsafe_share", self.unsafe_share, 0.0, 1.0 - self.keyed_share),
+            ("aim_ms", self.aim_ms, 0.001, 3.6e6),
+            ("deadline_ms", self.deadline_ms, 0.001, 3.6e6),
+            ("cross_price", self.cross_price, 0.0, 1.0),
+            ("conn_idle_s", self.conn_idle_s, 0.0, 86_400.0),
+            ("connect_timeout_ms", self.connect_timeout_ms, 0.0, 60_000.0),
+            ("cold_share", self.cold_share, 0.0, 1.0),
+            ("start_capacity", self.start_capacity, 0.001, 1.0),
+            ("ramp_s", self.ramp_s, 0.0, 86_400.0),
+            ("tip_multiple", self.tip_multiple, 0.0, 1e6),
+            ("fall_s", self.fall_s, 0.01, 3_600.0),
+            ("same_zone_ms", self.same_zone_ms, 0.0, 10_000.0),
+            ("cross_zone_ms", self.cross_zone_ms, 0.0, 10_000.0),
+            ("cross_region_ms", self.cross_region_ms, 0.0, 10_000.0),
+            ("balancer_us", self.balancer_us, 0.0, 1e7),
+            ("front_notice_s", self.front_notice_s, 0.0, 3_600.0),
+            ("discovery.notice_min_s", discovery.notice_min_s, 0.0, 3_600.0),
+            ("discovery.notice_max_s", discovery.notice_max_s, discovery.notice_min_s, 3_600.0),
+            ("discovery.silent_notice_min_s", discovery.silent_notice_min_s, 0.0, 3_600.0),
+            (
+                "discovery.silent_notice_max_s",
+                discovery.silent_notice_max_s,
+                discovery.silent_notice_min_s,
+                3_600.0,
+            ),
+            ("discovery.push_min_ms", discovery.push_min_ms, 0.0, 3.6e6),
+            ("discovery.push_max_ms", discovery.push_max_ms, discovery.push_min_ms, 3.6e6),
+            ("discovery.network_ms", discovery.network_ms, 0.0, 10_000.0),
+            ("discovery.call_us", discovery.call_us, 0.0, 1e7),
+            ("discovery.watch_us", discovery.watch_us, 0.0, 1e7),
+            ("discovery.machines", discovery.machines, 1.0, 1_000.0),
+            ("discovery.ask_within_s", discovery.ask_within_s, 0.0, 3_600.0),
+            ("discovery.changes_per_day", discovery.changes_per_day, 0.0, 1e9),
+            ("tier_fault.share", self.tier_fault.share, 0.0, 1.0),
+            ("tier_fault.from_s", self.tier_fault.from_s, 0.0, 86_400.0),
+            ("tier_fault.for_s", self.tier_fault.for_s, 0.0, 86_400.0),
+            ("zone_lost.from_s", self.zone_lost.from_s, 0.0, 86_400.0),
+            ("zone_lost.for_s", self.zone_lost.for_s, 0.0, 86_400.0),
+            ("region_cut.from_s", self.region_cut.from_s, 0.0, 86_400.0),
+            ("region_cut.for_s", self.region_cut.for_s, 0.0, 86_400.0),
+            ("discovery_down.from_s", self.discovery_down.from_s, 0.0, 86_400.0),
+            ("discovery_down.for_s", self.discovery_down.for_s, 0.0, 86_400.0),
+            ("rolling_restart.share", self.rolling_restart.share, 0.0, 1.0),
+            ("rolling_restart.from_s", self.rolling_restart.from_s, 0.0, 86_400.0),
+            ("rolling_restart.for_s", self.rolling_restart.for_s, 0.0, 86_400.0),
+            ("rolling_restart.drain_s", self.rolling_restart.drain_s, 0.0, 3_600.0),
+            ("rolling_restart.down_s", self.rolling_restart.down_s, 0.0, 3_600.0),
+        ];
+        for (key, value, least, most) in figures {
+            if !(least..=most).contains(&value) {
+                return Err(format!("`{key}` is {value}, not between {least} and {most}"));
+            }
+        }
+        if !self.zones.is_multiple_of(self.regions) {
+            return Err(format!("`regions` is {}, which does not divide {} zones", self.regions, self.zones));
+        }
+        if self.shape == Shape::Graph && self.services < self.depth as usize {
+            return Err(format!("`services` is {}, fewer than the depth of {}", self.services, self.depth));
+        }
+        if self.shape == Shape::Graph && self.balancers < self.services {
+            return Err(format!("`balancers` is {}, fewer than {} services", self.balancers, self.services));
+        }
+        if self.tier_fault.depth > self.depth {
+            return Err(format!("`tier_fault.depth` is {}, beyond {}", self.tier_fault.depth, self.depth));
+        }
+        if self.zone_lost.zone >= self.zones {
+            return Err(format!("`zone_lost.zone` is {} of {} zones", self.zone_lost.zone, self.zones));
+        }
+        Ok(())
+    }
+
+    fn faults(&self) -> Faults<'_> {
+        Faults {
+            tier: &self.tier_fault,
+            zone: &self.zone_lost,
+            regions: &self.region_cut,
+            discovery: &self.discovery_down,
+            restart: &self.rolling_restart,
+        }
+    }
+
+    /// The tier that the report looks at: the failing one, or the last.
+    fn watched_tier(&self) -> usize {
+        let depth = if self.tier_fault.depth == 0 { self.depth } else { self.tier_fault.depth };
+        depth as usize - 1
+    }
+}
+
+/// Runs a configuration that has been checked. `progress` is told of the virtual nanoseconds that are done, and
+/// of how many.
+pub fn run(config: &Config, seed: u64, progress: &dyn Fn(u64, u64)) -> report::Outcome {
+    let mut fleet = Fleet::new(config, seed);
+    fleet.run(progress);
+    fleet.outcome()
+}
+
+/// An event on the virtual clock.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The next request of a client.
+    Arrival,
+    /// An attempt reaches its upstream.
+    Reached(Key),
+    /// An upstream's own work on an attempt is done.
+    Worked(Key),
+    /// The end of an attempt reaches its balancer.
+    Answered(Key),
+    /// An attempt has had its time.
+    Expired(Key),
+    /// An upstream sees that an attempt was given up.
+    Withdrawn(Key),
+    /// A timer of a module instance.
+    Timer(u32, u64),
+    Discovery(discovery::Event),
+    /// A change of a list is noticed.
+    Notice(u32),
+    /// A step of the plan of faults.
+    Fault(u32),
+    /// An upstream's process ends, starts, and has its lists.
+    Stop(u32),
+    Start(u32),
+    Ready(u32),
+    /// Clients leave a front balancer that is lost, or a new one has its lists.
+    FrontLeft(u32),
+    FrontReady(u32),
+    /// A list changes for no fault's sake.
+    Change,
+}
+
+impl From<discovery::Event> for Event {
+    fn from(event: discovery::Event) -> Self {
+        Self::Discovery(event)
+    }
+}
+
+/// Who a call is made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Caller {
+    Client,
+    /// An upstream, for the attempt that it works on.
+    Attempt(Key),
+}
+
+/// A request at a balancer that is not answered yet, or has an attempt out.
+#[derive(Debug)]
+struct Call {
+    instance: usize,
+    id: RequestId,
+    caller: Caller,
+    class: usize,
+    came: Time,
+    deadline: Time,
+    /// An answer is owed.
+    owed: bool,
+    attempts: u32,
+    out: Option<Key>,
+    /// Its client's request came in the time that is measured.
+    measured: bool,
+}
+
+/// Where an attempt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Coming,
+    Queued,
+    Working,
+    /// The upstream has made a call of its own for it.
+    Calling(Key),
+    Answering,
+    /// Nothing will come of it any more.
+    Lost,
+}
+
+/// An attempt.
+#[derive(Debug)]
+struct Attempt {
+    call: Key,
+    number: u32,
+    upstream: usize,
+    class: usize,
+    sent: Time,
+    until: Time,
+    /// It opens a connection.
+    connects: bool,
+    /// Its balancer waits for it.
+    waited: bool,
+    place: Place,
+    outcome: Outcome,
+    /// The next callee of its service to be called or not.
+    callee: usize,
+    measured: bool,
+}
+
+/// Whether a process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Up,
+    /// Its connections are reset and refused.
+    Down,
+    /// Its machine is gone, and says nothing.
+    Silent,
+}
+
+/// An upstream at work.
+#[derive(Debug)]
+struct Server {
+    life: Life,
+    /// Its processes so far.
+    process: u32,
+    started: Option<Time>,
+    busy: u32,
+    queue: VecDeque<Key>,
+    /// Calls in the last steps of the window over which a cold one is judged, and the last step.
+    recent: [u32; FALL_STEPS],
+    step: Time,
+}
+
+/// A module instance with what the driver of a real balancer keeps beside it.
+struct Node {
+    balancer: Balancer,
+    alive: bool,
+    next_id: u32,
+    calls: HashMap<RequestId, Key>,
+    /// Idle connections to each upstream of its service, and when the last was used.
+    idle: Vec<(u32, Time)>,
+}
+
+/// When a change of a list holds, once it is noticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Holds {
+    /// As long as the upstream's process is this one.
+    Process(u32),
+    /// As long as the regions are cut for this time.
+    Cut(u32),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    upstream: usize,
+    lifecycle: Lifecycle,
+    happened: Time,
+    holds: Holds,
+}
+
+/// Attempts by how they ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct TierCount {
+    calls: u64,
+    ok: u64,
+    errors: u64,
+    full: u64,
+    timeouts: u64,
+    unconnected: u64,
+    resets: u64,
+    withdrawn: u64,
+}
+
+/// Requests of clients by how they ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct RequestCount {
+    came: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    lost: u64,
+}
+
+/// What is counted over a run.
+#[derive(Default)]
+struct Counts {
+    tiers: Vec<TierCount>,
+    seconds: Vec<RequestCount>,
+    requests: RequestCount,
+    /// Of all requests, measured or not.
+    sends: u64,
+    sends_in_time: u64,
+    retries: u64,
+    refused_calls: u64,
+    module_events: u64,
+    cross_zone: u64,
+    cross_region: u64,
+    connects: u64,
+    withdrawals: u64,
+    probes: u64,
+    logs: u64,
+    cold_falls: u64,
+    cold_calls: u64,
+    changes: u64,
+    restarts: u64,
+    longest_start: Time,
+    most_held: usize,
+}
+
+struct Fleet<'a> {
+    config: &'a Config,
+    topology: Topology,
+    queue: Queue<Event>,
+    rng: ChaCha8Rng,
+    work: LogNormal<f64>,
+    classes: Vec<Class>,
+    load: Load,
+    next: Arrival,
+    nodes: Vec<Node>,
+    servers: Vec<Server>,
+    discovery: Discovery,
+    calls: Slab<Call>,
+    attempts: Slab<Attempt>,
+    notices: Vec<Notice>,
+    plan: Vec<Step>,
+    restart_order: Vec<usize>,
+    tier_fails: bool,
+    regions_cut: bool,
+    cuts: u32,
+    /// Front balancers that run, and those that clients call.
+    front_up: Vec<bool>,
+    front_called: Vec<bool>,
+    actions: Vec<Action>,
+    pending: VecDeque<(usize, RequestId, End)>,
+    counts: Counts,
+    latency: Histogram<u64>,
+    open_measured: u64,
+    measure_from: Time,
+    arrivals_end: Time,
+}
+
+impl<'a> Fleet<'a> {
+    fn new(config: &'a Config, seed: u64) -> Self {
+        let stream = |number| {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            rng.set_stream(number);
+            rng
+        };
+        let topology = Topology::new(config, &mut stream(1));
+        let mut rng = stream(2);
+        let servers: Vec<Server> = topology
+            .upstreams
+            .iter()
+            .map(|_| Server {
+                life: Life::Up,
+                process: 0,
+                started: rng.random_bool(config.cold_share).then_some(START),
+                busy: 0,
+                queue: VecDeque::new(),
+                recent: [0; FALL_STEPS],
+                step: 0,
+            })
+            .collect();
+        let entry = |upstream: usize| ListEntry {
+            server: ServerId(upstream as u32),
+            zone: ZoneId(topology.upstreams[upstream].zone as u8),
+            cell: 0,
+            lifecycle: Lifecycle::Ready,
+            size: 1.0,
+            started: servers[upstream].started,
+        };
+        let lists =
+            topology.services.iter().map(|service| service.upstreams.clone().map(entry).collect()).collect();
+        let watchers = topology.instances.iter().map(|instance| instance.service);
+        let discovery = Discovery::new(config.discovery.clone(), stream(3), lists, watchers);
+        let entries = topology.entries.len();
+        let mut load = Load::new(config, topology.request_rate, entries, START, stream(4));
+        let next = load.next_arrival();
+        let classes = load::classes(config);
+        let nodes = topology
+            .instances
+            .iter()
+            .map(|instance| Node {
+                balancer: balancer(config, &classes, &topology, instance, rng.random(), START),
+                alive: true,
+                next_id: 0,
+                calls: HashMap::new(),
+                idle: vec![(0, 0); topology.services[instance.service].upstreams.len()],
+            })
+            .collect();
+        let measure_from = START + seconds(config.warmup_s);
+        let arrivals_end = measure_from + seconds(config.duration_s);
+        let faults = config.faults();
+        let mut restart_order: Vec<usize> = (0..topology.upstreams.len()).collect();
+        restart_order.shuffle(&mut rng);
+        let mut queue = Queue::new(START);
+        let steps = faults.plan(START, topology.upstreams.len());
+        for (at, &(time, _)) in steps.iter().enumerate() {
+            queue.push(time, Event::Fault(at as u32));
+        }
+        queue.push(next.at, Event::Arrival);
+        let variance = (1.0 + config.work_variation * config.work_variation).ln();
+        let mut fleet = Self {
+            work: LogNormal::new(-variance / 2.0, variance.sqrt()).expect("the variation has been checked"),
+            counts: Counts {
+                tiers: vec![TierCount::default(); config.depth as usize],
+                seconds: vec![
+                    RequestCount::default();
+                    (config.warmup_s + config.duration_s).ceil() as usize + 1
+                ],
+                ..Counts::default()
+            },
+            front_up: vec![true; config.fronts],
+            front_called: vec![true; config.fronts],
+            config,
+            queue,
+            rng,
+            classes,
+            load,
+            next,
+            nodes,
+            servers,
+            discovery,
+            calls: Slab::default(),
+            attempts: Slab::default(),
+            notices: Vec::new(),
+            plan: steps.into_iter().map(|(_, step)| step).collect(),
+            restart_order,
+            tier_fails: false,
+            regions_cut: false,
+            cuts: 0,
+            actions: Vec::new(),
+            pending: VecDeque::new(),
+            latency: Histogram::new(3).expect("three digits are allowed"),
+            open_measured: 0,
+            measure_from,
+            arrivals_end,
+            topology,
+        };
+        fleet.next_change();
+        for instance in 0..fleet.nodes.len() {
+            fleet.tell_list(instance);
+        }
+        fleet
+    }
+
+    fn run(&mut self, progress: &dyn Fn(u64, u64)) {
+        let last = self.arrivals_end + millis(self.config.deadline_ms) + SECOND;
+        let length = self.arrivals_end - START;
+        let mut tell_at = START;
+        while let Some(event) = self.queue.pop() {
+            let now = self.queue.now();
+            if now >= tell_at {
+                progress((now - START).min(length), length);
+                tell_at = now + PROGRESS_EVERY;
+            }
+            if now >= self.arrivals_end && (self.open_measured == 0 || now >= last) {
+                break;
+            }
+            self.on_event(event);
+        }
+        progress(length, length);
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.on_arrival(),
+            Event::Reached(key) => self.on_reached(key),
+            Event::Worked(key) => self.on_worked(key),
+            Event::Answered(key) => self.on_answered(key),
+            Event::Expired(key) => self.on_expired(key),
+            Event::Withdrawn(key) => self.on_withdrawn(key),
+            Event::Timer(instance, token) => self.tell(instance as usize, ModuleEvent::Timer(token)),
+            Event::Discovery(event) => {
+                let (instance, told) = self.discovery.handle(event, &mut self.queue);
+                match told {
+                    Told::Nothing => {}
+                    Told::Changes(entries) if entries.is_empty() => {}
+                    Told::Changes(entries) => self.tell(instance, ModuleEvent::ListChange(&entries)),
+                    Told::Failed => self.tell(instance, ModuleEvent::ListFailed),
+                }
+            }
+            Event::Notice(notice) => self.on_notice(notice as usize),
+            Event::Fault(step) => self.on_fault(self.plan[step as usize]),
+            Event::Stop(upstream) => {
+                self.stop(upstream as usize, Life::Down);
+                let after = seconds(self.config.rolling_restart.down_s);
+                self.queue.push(self.queue.now() + after, Event::Start(upstream));
+            }
+            Event::Start(upstream) => self.on_start(upstream as usize),
+            Event::Ready(upstream) => self.on_ready(upstream as usize),
+            Event::FrontLeft(front) => {
+                self.front_called[front as usize] = self.front_up[front as usize];
+            }
+            Event::FrontReady(front) => {
+                let front = front as usize;
+                (self.front_up[front], self.front_called[front]) = (true, true);
+                self.renew(self.topology.fronts[front].instances.clone());
+            }
+            Event::Change => self.on_change(),
+        }
+    }
+
+    // ---- Clients ----
+
+    fn on_arrival(&mut self) {
+        let Arrival { at, class, entry } = self.next;
+        self.next = self.load.next_arrival();
+        if self.next.at < self.arrivals_end {
+            self.queue.push(self.next.at, Event::Arrival);
+        }
+        let measured = at >= self.measure_from;
+        self.count_request(at, measured, |count| &mut count.came);
+        let first = self.rng.random_range(0..self.front_called.len());
+        let fronts = (0..self.front_called.len()).map(|step| (first + step) % self.front_called.len());
+        let Some(front) = fronts.into_iter().find(|&front| self.front_called[front]) else {
+            return self.count_request(at, measured, |count| &mut count.lost);
+        };
+        if !self.front_up[front] {
+            return self.count_request(at, measured, |count| &mut count.lost);
+        }
+        self.open_measured += u64::from(measured);
+        let instance = self.topology.fronts[front].instances.start + entry;
+        let deadline = at + self.classes[class].deadline;
+        self.call(instance, Caller::Client, class, deadline, measured);
+    }
+
+    fn count_request(&mut self, came: Time, measured: bool, field: impl Fn(&mut RequestCount) -> &mut u64) {
+        let second = ((came - START) / SECOND) as usize;
+        if let Some(count) = self.counts.seconds.get_mut(second) {
+            *field(count) += 1;
+        }
+        if measured {
+            *field(&mut self.counts.requests) += 1;
+        }
+    }
+
+    // ---- Calls ----
+
+    /// A request comes to a balancer.
+    fn call(&mut self, instance: usize, caller: Caller, class: usize, deadline: Time, measured: bool) -> Key {
+        let now = self.queue.now();
+        let node = &mut self.nodes[instance];
+        let id = RequestId(node.next_id);
+        node.next_id = node.next_id.wrapping_add(1);
+        let call = Call {
+            instance,
+            id,
+            caller,
+            class,
+            came: now,
+            deadline,
+            owed: true,
+            attempts: 0,
+            out: None,
+            measured,
+        };
+        let key = self.calls.insert(call);
+        node.calls.insert(id, key);
+        self.counts.most_held = self.counts.most_held.max(node.calls.len());
+        let time_left = deadline.saturating_sub(now);
+        let demand = Demand { class, tenant: 0, time_left, work: None, streamed: false };
+        if let Caller::Attempt(caller) = caller
+            && let Some(attempt) = self.attempts.get_mut(caller)
+        {
+            attempt.place = Place::Calling(key);
+        }
+        self.tell(instance, ModuleEvent::Request(id, demand));
+        key
+    }
+
+    /// Gives a request its final answer, if one is owed still.
+    fn answer(&mut self, key: Key, answer: Answer) {
+        let Some(call) = self.calls.get_mut(key) else { return };
+        if !std::mem::replace(&mut call.owed, false) {
+            return;
+        }
+        let (caller, came, measured) = (call.caller, call.came, call.measured);
+        self.counts.refused_calls += u64::from(answer == Answer::Refused);
+        self.forget_if_done(key);
+        match caller {
+            Caller::Client => {
+                self.open_measured -= u64::from(measured);
+                self.count_request(came, measured, |count| match answer {
+                    Answer::Served => &mut count.served,
+                    Answer::Refused => &mut count.refused,
+                    Answer::Failed => &mut count.failed,
+                });
+                if measured && answer == Answer::Served {
+                    self.latency.saturating_record(self.queue.now() - came);
+                }
+            }
+            Caller::Attempt(attempt) => match answer {
+                Answer::Served => self.call_on(attempt),
+                // An upstream fails if any of its calls does.
+                Answer::Refused | Answer::Failed => self.finish(attempt, Outcome::Error),
+            },
+        }
+    }
+
+    fn forget_if_done(&mut self, key: Key) {
+        if self.calls.get(key).is_some_and(|call| !call.owed && call.out.is_none())
+            && let Some(call) = self.calls.remove(key)
+        {
+            self.nodes[call.instance].calls.remove(&call.id);
+        }
+    }
+
+    // ---- Attempts, at the balancer ----
+
+    fn send(&mut self, instance: usize, id: RequestId, server: ServerId, until: Time) {
+        let now = self.queue.now();
+        let node = &mut self.nodes[instance];
+        let Some(&key) = node.calls.get(&id) else { return };
+        let Some(call) = self.calls.get_mut(key) else { return };
+        let (number, until) = (call.attempts, until.min(call.deadline));
+        call.attempts += 1;
+        if !call.owed || now >= until || number >= self.config.max_attempts {
+            let closed = !call.owed;
+            let end =
+                End { attempt: number, outcome: Outcome::Moot, elapsed: 0, closed, spent: false, load: None };
+            return self.pending.push_back((instance, id, end));
+        }
+        let upstream = server.0 as usize;
+        let service = &self.topology.services[self.topology.instances[instance].service];
+        let (idle, used) = &mut node.idle[upstream - service.upstreams.start];
+        let connects = *idle == 0 || now.saturating_sub(*used) >= seconds(self.config.conn_idle_s);
+        *idle = if connects { 0 } else { *idle - 1 };
+        let attempt = Attempt {
+            call: key,
+            number,
+            upstream,
+            class: call.class,
+            sent: now,
+            until,
+            connects,
+            waited: true,
+            place: Place::Coming,
+            outcome: Outcome::Ok,
+            callee: 0,
+            measured: call.measured,
+        };
+        let tier = service.tier as usize;
+        let out = self.attempts.insert(attempt);
+        call.out = Some(out);
+        self.counts.tiers[tier].calls += u64::from(call.measured);
+        self.counts.retries += u64::from(call.measured && number > 0);
+        self.counts.sends += 1;
+        self.counts.sends_in_time += u64::from(now >= self.measure_from && now < self.arrivals_end);
+        self.counts.connects += u64::from(connects);
+        let (zone, other) = (self.topology.instances[instance].zone, self.topology.upstreams[upstream].zone);
+        self.counts.cross_zone += u64::from(zone != other);
+        self.counts.cross_region += u64::from(Topology::regions_differ(self.config, zone, other));
+        let way = self.way(zone, other);
+        let handshake = if connects { 2 * way } else { 0 };
+        self.queue.push(now + self.own_time() + handshake + way, Event::Reached(out));
+        self.queue.push(until, Event::Expired(out));
+    }
+
+    /// What a balancer adds to a call, or to its answer.
+    fn own_time(&self) -> Time {
+        (self.config.balancer_us * 1e3) as Time
+    }
+
+    /// Time from one zone to another.
+    fn way(&self, zone: usize, other: usize) -> Time {
+        millis(match (zone == other, Topology::regions_differ(self.config, zone, other)) {
+            (true, _) => self.config.same_zone_ms,
+            (_, true) => self.config.cross_region_ms,
+            (_, false) => self.config.cross_zone_ms,
+        })
+    }
+
+    /// Time from a balancer to the upstream of an attempt; `None` if nothing gets through.
+    fn way_of(&self, attempt: &Attempt) -> Option<Time> {
+        let zone = self.topology.instances[self.calls.get(attempt.call)?.instance].zone;
+        let other = self.topology.upstreams[attempt.upstream].zone;
+        let cut = self.regions_cut && Topology::regions_differ(self.config, zone, other);
+        (!cut).then(|| self.way(zone, other))
+    }
+
+    fn on_answered(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.remove(key) else { return };
+        if attempt.waited {
+            self.ended(&attempt, attempt.outcome);
+        }
+    }
+
+    fn on_expired(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.get_mut(key).filter(|attempt| attempt.waited) else { return };
+        attempt.waited = false;
+        let lost = attempt.place == Place::Lost;
+        let outcome = if lost && attempt.connects { Outcome::ConnectFailed } else { Outcome::Timeout };
+        self.give_up(key, outcome);
+    }
+
+    /// A balancer stops waiting for an attempt: it closes the connection, which the upstream sees.
+    fn give_up(&mut self, key: Key, outcome: Outcome) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let way = self.way_of(attempt);
+        let lost = attempt.place == Place::Lost;
+        let ended = Attempt { waited: false, ..*attempt };
+        if lost {
+            self.attempts.remove(key);
+        } else if let Some(way) = way {
+            self.queue.push(self.queue.now() + way, Event::Withdrawn(key));
+        }
+        self.ended(&ended, outcome);
+    }
+
+    /// The balancer of an attempt hears how it ended.
+    fn ended(&mut self, attempt: &Attempt, outcome: Outcome) {
+        let now = self.queue.now();
+        let tier = self.topology.services[self.topology.upstreams[attempt.upstream].service].tier as usize;
+        if attempt.measured {
+            let count = &mut self.counts.tiers[tier];
+            *match outcome {
+                Outcome::Ok | Outcome::Declined => &mut count.ok,
+                Outcome::Error => &mut count.errors,
+                Outcome::Full => &mut count.full,
+                Outcome::Timeout => &mut count.timeouts,
+                Outcome::ConnectFailed => &mut count.unconnected,
+                Outcome::Reset => &mut count.resets,
+                Outcome::Cancelled | Outcome::Moot => &mut count.withdrawn,
+            } += 1;
+        }
+        let key = attempt.call;
+        let Some(call) = self.calls.get_mut(key) else { return };
+        call.out = None;
+        let (instance, id, owed) = (call.instance, call.id, call.owed);
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            let service = &self.topology.services[self.topology.instances[instance].service];
+            let (idle, used) = &mut self.nodes[instance].idle[attempt.upstream - service.upstreams.start];
+            (*idle, *used) = (*idle + 1, now);
+        }
+        let served = outcome == Outcome::Ok && owed;
+        let end = End {
+            attempt: attempt.number,
+            outcome,
+            elapsed: now - attempt.sent,
+            closed: served || !owed,
+            spent: false,
+            load: None,
+        };
+        self.tell(instance, ModuleEvent::Ended(id, end));
+        if served {
+            self.answer(key, Answer::Served);
+        } else {
+            self.forget_if_done(key);
+        }
+    }
+
+    // ---- Attempts, at the upstream ----
+
+    fn on_reached(&mut self, key: Key) {
+        let now = self.queue.now();
+        let Some(attempt) = self.attempts.get(key) else { return };
+        if !attempt.waited {
+            self.attempts.remove(key);
+            return;
+        }
+        let (upstream, connects, sent) = (attempt.upstream, attempt.connects, attempt.sent);
+        let through = self.way_of(attempt).is_some();
+        let life = self.servers[upstream].life;
+        if !through || life == Life::Silent {
+            let Some(attempt) = self.attempts.get_mut(key) else { return };
+            attempt.place = Place::Lost;
+            if connects {
+                (attempt.place, attempt.outcome) = (Place::Answering, Outcome::ConnectFailed);
+                self.queue.push(sent + millis(self.config.connect_timeout_ms), Event::Answered(key));
+            }
+            return;
+        }
+        if life == Life::Down {
+            return self.finish(key, Outcome::ConnectFailed);
+        }
+        if self.falls(upstream) {
+            self.counts.cold_falls += 1;
+            let process = self.servers[upstream].process;
+            self.stop(upstream, Life::Down);
+            self.notice(upstream, Lifecycle::Gone, false, Holds::Process(process + 1));
+            return self.finish(key, Outcome::ConnectFailed);
+        }
+        let slots = self.topology.services[self.topology.upstreams[upstream].service].slots;
+        let server = &mut self.servers[upstream];
+        if server.busy < slots {
+            self.begin(key);
+        } else if server.queue.len() < self.config.queue_limit {
+            server.queue.push_back(key);
+            if let Some(attempt) = self.attempts.get_mut(key) {
+                attempt.place = Place::Queued;
+            }
+        } else {
+            self.finish(key, Outcome::Full);
+        }
+        debug_assert!(now >= sent);
+    }
+
+    /// Part of its capacity that an upstream has: all of it once it is warm.
+    fn warmth(&self, upstream: usize) -> f64 {
+        let Some(started) = self.servers[upstream].started else { return 1.0 };
+        let age = (self.queue.now() - started) as f64 / (self.config.ramp_s * 1e9).max(1.0);
+        (self.config.start_capacity + (1.0 - self.config.start_capacity) * age).min(1.0)
+    }
+
+    /// Counts a call of a cold upstream, and tells whether it falls over: more came in the window than the
+    /// multiple of what it can do, and than chance adds to that.
+    fn falls(&mut self, upstream: usize) -> bool {
+        let warmth = self.warmth(upstream);
+        if warmth >= 1.0 {
+            return false;
+        }
+        self.counts.cold_calls += 1;
+        let service = &self.topology.services[self.topology.upstreams[upstream].service];
+        let capacity = f64::from(service.slots) / service.work * 1e9 * warmth;
+        let step = self.queue.now() / seconds(self.config.fall_s / FALL_STEPS as f64).max(1);
+        let server = &mut self.servers[upstream];
+        for passed in server.step + 1..=step.min(server.step + FALL_STEPS as Time) {
+            server.recent[(passed % FALL_STEPS as Time) as usize] = 0;
+        }
+        if step > server.step + FALL_STEPS as Time {
+            server.recent = [0; FALL_STEPS];
+        }
+        server.step = step;
+        server.recent[(step % FALL_STEPS as Time) as usize] += 1;
+        let most = self.config.tip_multiple * capacity * self.config.fall_s;
+        f64::from(server.recent.iter().sum::<u32>()) > most + 2.0 * most.sqrt() + 2.0
+    }
+
+    fn begin(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.place = Place::Working;
+        let upstream = attempt.upstream;
+        self.servers[upstream].busy += 1;
+        let mean = self.topology.services[self.topology.upstreams[upstream].service].work;
+        let took = mean * self.work.sample(&mut self.rng) / self.warmth(upstream);
+        self.queue.push(self.queue.now() + took as Time, Event::Worked(key));
+    }
+
+    fn on_worked(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.get(key).filter(|attempt| attempt.place == Place::Working) else {
+            return;
+        };
+        let (upstream, waited) = (attempt.upstream, attempt.waited);
+        self.servers[upstream].busy -= 1;
+        self.begin_next(upstream);
+        if !waited {
+            self.attempts.remove(key);
+            return;
+        }
+        let tier = self.topology.services[self.topology.upstreams[upstream].service].tier as usize;
+        let fault = &self.config.tier_fault;
+        let failing = self.tier_fails && (fault.all_tiers || tier == self.config.watched_tier());
+        if failing && self.rng.random_bool(fault.share) {
+            self.finish(key, Outcome::Error);
+        } else {
+            self.call_on(key);
+        }
+    }
+
+    /// Takes the next call from an upstream's queue; one whose time is over is not begun any more.
+    fn begin_next(&mut self, upstream: usize) {
+        let now = self.queue.now();
+        while let Some(key) = self.servers[upstream].queue.pop_front() {
+            match self.attempts.get(key).map(|attempt| (attempt.waited, now < attempt.until)) {
+                Some((true, true)) => return self.begin(key),
+                Some((true, false)) => self.finish(key, Outcome::Full),
+                Some((false, _)) => drop(self.attempts.remove(key)),
+                None => {}
+            }
+        }
+    }
+
+    /// An upstream makes the next of its calls for an attempt, or has its answer.
+    fn call_on(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        let (class, until, measured, upstream) =
+            (attempt.class, attempt.until, attempt.measured, attempt.upstream);
+        let place = &self.topology.upstreams[upstream];
+        let callees = &self.topology.services[place.service].callees;
+        while let Some(callee) = callees.get(attempt.callee) {
+            let instance = place.instances.start + attempt.callee;
+            attempt.callee += 1;
+            if callee.chance >= 1.0 || self.rng.random_bool(callee.chance) {
+                self.call(instance, Caller::Attempt(key), class, until, measured);
+                return;
+            }
+        }
+        self.finish(key, Outcome::Ok);
+    }
+
+    /// An upstream answers an attempt.
+    fn finish(&mut self, key: Key, outcome: Outcome) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let way = self.way_of(attempt).filter(|_| attempt.waited);
+        let waited = attempt.waited;
+        match way {
+            Some(way) => {
+                let at = self.queue.now() + way + self.own_time();
+                self.queue.push(at, Event::Answered(key));
+                if let Some(attempt) = self.attempts.get_mut(key) {
+                    (attempt.place, attempt.outcome) = (Place::Answering, outcome);
+                }
+            }
+            None if waited => {
+                if let Some(attempt) = self.attempts.get_mut(key) {
+                    attempt.place = Place::Lost;
+                    attempt.connects = false; // it has reached the upstream: nothing says that it never ran
+                }
+            }
+            None => drop(self.attempts.remove(key)),
+        }
+    }
+
+    fn on_withdrawn(&mut self, key: Key) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        match attempt.place {
+            Place::Queued => {
+                let upstream = attempt.upstream;
+                self.servers[upstream].queue.retain(|&queued| queued != key);
+                self.attempts.remove(key);
+            }
+            Place::Calling(call) => {
+                self.attempts.remove(key);
+                self.caller_gone(call);
+            }
+            Place::Lost => drop(self.attempts.remove(key)),
+            Place::Coming | Place::Working | Place::Answering => {} // seen when that is over
+        }
+    }
+
+    fn caller_gone(&mut self, key: Key) {
+        let Some(call) = self.calls.get_mut(key).filter(|call| call.owed) else { return };
+        call.owed = false;
+        let (instance, id) = (call.instance, call.id);
+        self.tell(instance, ModuleEvent::ClientGone(id));
+        self.forget_if_done(key);
+    }
+
+    // ---- Lists ----
+
+    /// A change of an upstream's entry comes into the list once discovery has noticed it.
+    fn notice(&mut self, upstream: usize, lifecycle: Lifecycle, silent: bool, holds: Holds) {
+        let happened = self.queue.now();
+        let at = self.discovery.notice(happened, silent);
+        self.queue.push(at, Event::Notice(self.notices.len() as u32));
+        self.notices.push(Notice { upstream, lifecycle, happened, holds });
+    }
+
+    fn on_notice(&mut self, notice: usize) {
+        let Notice { upstream, lifecycle, happened, holds } = self.notices[notice];
+        let holds = match holds {
+            Holds::Process(process) => self.servers[upstream].process == process,
+            Holds::Cut(cut) => self.regions_cut && self.cuts == cut,
+        };
+        if holds {
+            self.list(upstream, lifecycle, happened);
+        }
+    }
+
+    fn list(&mut self, upstream: usize, lifecycle: Lifecycle, happened: Time) {
+        let service = self.topology.upstreams[upstream].service;
+        let entry = upstream - self.topology.services[service].upstreams.start;
+        let started = self.servers[upstream].started;
+        let change = |entry: &mut ListEntry| (entry.lifecycle, entry.started) = (lifecycle, started);
+        self.discovery.change(service, entry, change, happened, &mut self.queue);
+        self.counts.changes += 1;
+    }
+
+    /// Sets the time of the next change that no fault brings about.
+    fn next_change(&mut self) {
+        let rate = self.config.discovery.changes_per_day / 86_400.0;
+        if rate > 0.0 {
+            let wait: f64 = Exp1.sample(&mut self.rng);
+            self.queue.push(self.queue.now() + seconds(wait / rate), Event::Change);
+        }
+    }
+
+    /// An upstream is given another size, in turn a little less and all of it.
+    fn on_change(&mut self) {
+        self.next_change();
+        let upstream = self.rng.random_range(0..self.servers.len());
+        let service = self.topology.upstreams[upstream].service;
+        let entry = upstream - self.topology.services[service].upstreams.start;
+        let change = |entry: &mut ListEntry| entry.size = if entry.size < 1.0 { 1.0 } else { 0.9 };
+        self.discovery.change(service, entry, change, self.queue.now(), &mut self.queue);
+        self.counts.changes += 1;
+    }
+
+    // ---- Faults ----
+
+    fn on_fault(&mut self, step: Step) {
+        match step {
+            Step::TierFails(fails) => self.tier_fails = fails,
+            Step::ZoneLost(zone, lost) => self.on_zone(zone, lost),
+            Step::RegionsCut(cut) => self.on_regions(cut),
+            Step::DiscoveryDown(down) => self.discovery.set_down(down, &mut self.queue),
+            Step::Restart(at) => {
+                let upstream = self.restart_order[at as usize];
+                if self.servers[upstream].life == Life::Up {
+                    self.counts.restarts += 1;
+                    self.list(upstream, Lifecycle::Draining, self.queue.now());
+                    let at = self.queue.now() + seconds(self.config.rolling_restart.drain_s);
+                    self.queue.push(at, Event::Stop(upstream as u32));
+                }
+            }
+        }
+    }
+
+    fn on_zone(&mut self, zone: usize, lost: bool) {
+        let now = self.queue.now();
+        for upstream in
+            (0..self.servers.len()).filter(|&at| self.topology.upstreams[at].zone == zone).collect::<Vec<_>>()
+        {
+            if lost {
+                self.stop(upstream, Life::Silent);
+                let process = self.servers[upstream].process;
+                self.notice(upstream, Lifecycle::Gone, true, Holds::Process(process));
+            } else {
+                self.on_start(upstream);
+            }
+        }
+        for front in
+            (0..self.front_up.len()).filter(|&at| self.topology.fronts[at].zone == zone).collect::<Vec<_>>()
+        {
+            let instances = self.topology.fronts[front].instances.clone();
+            if lost {
+                self.front_up[front] = false;
+                self.end_instances(instances, true);
+                let at = now + seconds(self.config.front_notice_s);
+                self.queue.push(at, Event::FrontLeft(front as u32));
+            } else {
+                let ready = instances.map(|at| self.discovery.first_list(at, now)).max().unwrap_or(now);
+                self.queue.push(ready, Event::FrontReady(front as u32));
+            }
+        }
+    }
+
+    fn on_regions(&mut self, cut: bool) {
+        self.regions_cut = cut;
+        self.cuts += u32::from(cut);
+        for instance in 0..self.nodes.len() {
+            if Topology::regions_differ(self.config, 0, self.topology.instances[instance].zone) {
+                self.discovery.set_cut(instance, cut, &mut self.queue);
+            }
+        }
+        for upstream in 0..self.servers.len() {
+            if Topology::regions_differ(self.config, 0, self.topology.upstreams[upstream].zone) {
+                let service = self.topology.upstreams[upstream].service;
+                let entry = upstream - self.topology.services[service].upstreams.start;
+                let gone = self.discovery.list(service)[entry].lifecycle == Lifecycle::Gone;
+                if cut {
+                    self.notice(upstream, Lifecycle::Gone, true, Holds::Cut(self.cuts));
+                } else if gone && self.servers[upstream].life == Life::Up {
+                    let process = self.servers[upstream].process;
+                    self.notice(upstream, Lifecycle::Ready, false, Holds::Process(process));
+                }
+            }
+        }
+    }
+
+    /// The process of an upstream ends, and with it its balancer.
+    fn stop(&mut self, upstream: usize, life: Life) {
+        let server = &mut self.servers[upstream];
+        server.life = life;
+        server.process += 1;
+        server.busy = 0;
+        server.queue.clear();
+        let held = |attempt: &Attempt| {
+            let there = matches!(attempt.place, Place::Queued | Place::Working | Place::Calling(_));
+            attempt.upstream == upstream && there
+        };
+        for key in self.attempts.keys(held) {
+            if life == Life::Silent {
+                if let Some(attempt) = self.attempts.get_mut(key) {
+                    (attempt.place, attempt.connects) = (Place::Lost, false);
+                }
+                if self.attempts.get(key).is_some_and(|attempt| !attempt.waited) {
+                    self.attempts.remove(key);
+                }
+            } else {
+                self.finish(key, Outcome::Reset);
+            }
+        }
+        self.end_instances(self.topology.upstreams[upstream].instances.clone(), life == Life::Silent);
+    }
+
+    /// Module instances end: nobody waits for their attempts any more, and clients' requests are lost.
+    fn end_instances(&mut self, instances: Range<usize>, silent: bool) {
+        for key in self.calls.keys(|call| instances.contains(&call.instance)) {
+            let Some(call) = self.calls.get(key) else { continue };
+            let (out, caller, came, measured, owed) =
+                (call.out, call.caller, call.came, call.measured, call.owed);
+            if owed && caller == Caller::Client {
+                self.open_measured -= u64::from(measured);
+                self.count_request(came, measured, |count| &mut count.lost);
+            }
+            if let Some(out) = out
+                && let Some(attempt) = self.attempts.get_mut(out)
+            {
+                attempt.waited = false;
+                let lost = attempt.place == Place::Lost;
+                let way = self.attempts.get(out).and_then(|attempt| self.way_of(attempt));
+                match way.filter(|_| !silent) {
+                    _ if lost => drop(self.attempts.remove(out)),
+                    Some(way) => self.queue.push(self.queue.now() + way, Event::Withdrawn(out)),
+                    None => {}
+                }
+            }
+            self.calls.remove(key);
+        }
+        for instance in instances {
+            let node = &mut self.nodes[instance];
+            node.alive = false;
+            node.calls.clear();
+            node.idle.fill((0, 0));
+            self.discovery.gone(instance);
+        }
+    }
+
+    /// A new process starts: cold, and of use once its balancer has its lists.
+    fn on_start(&mut self, upstream: usize) {
+        let now = self.queue.now();
+        self.servers[upstream].started = Some(now);
+        let instances = self.topology.upstreams[upstream].instances.clone();
+        let ready = instances.map(|at| self.discovery.first_list(at, now)).max().unwrap_or(now);
+        self.counts.longest_start = self.counts.longest_start.max(ready - now);
+        self.queue.push(ready, Event::Ready(upstream as u32));
+    }
+
+    fn on_ready(&mut self, upstream: usize) {
+        let server = &mut self.servers[upstream];
+        server.life = Life::Up;
+        (server.recent, server.step) = ([0; FALL_STEPS], 0);
+        let process = server.process;
+        self.renew(self.topology.upstreams[upstream].instances.clone());
+        self.notice(upstream, Lifecycle::Ready, false, Holds::Process(process));
+    }
+
+    /// Module instances start anew, and know their lists.
+    fn renew(&mut self, instances: Range<usize>) {
+        let now = self.queue.now();
+        for instance in instances {
+            let of = &self.topology.instances[instance];
+            let seed = self.rng.random();
+            let balancer = balancer(self.config, &self.classes, &self.topology, of, seed, now);
+            let node = &mut self.nodes[instance];
+            (node.balancer, node.alive) = (balancer, true);
+            self.tell_list(instance);
+        }
+    }
+
+    // ---- The module ----
+
+    fn tell_list(&mut self, instance: usize) {
+        let list = self.discovery.list(self.topology.instances[instance].service).to_vec();
+        self.tell(instance, ModuleEvent::List(&list));
+    }
+
+    /// Tells an instance of an event, does what it says, and tells it of what came of that at once.
+    fn tell(&mut self, instance: usize, event: ModuleEvent<'_>) {
+        self.handle(instance, event);
+        while let Some((instance, id, end)) = self.pending.pop_front() {
+            self.handle(instance, ModuleEvent::Ended(id, end));
+            if let Some(&key) = self.nodes[instance].calls.get(&id) {
+                self.forget_if_done(key);
+            }
+        }
+    }
+
+    fn handle(&mut self, instance: usize, event: ModuleEvent<'_>) {
+        let node = &mut self.nodes[instance];
+        if !node.alive {
+            return;
+        }
+        self.counts.module_events += 1;
+        let mut actions = std::mem::take(&mut self.actions);
+        node.balancer.handle(self.queue.now(), event, &mut actions);
+        actions.drain(..).for_each(|action| self.act(instance, action));
+        self.actions = actions;
+    }
+
+    fn act(&mut self, instance: usize, action: Action) {
+        match action {
+            Action::Send { id, server, until } => self.send(instance, id, server, until),
+            Action::Refuse { id, .. } => self.answer_id(instance, id, Answer::Refused),
+            Action::Fail(id) => self.answer_id(instance, id, Answer::Failed),
+            Action::Cancel { id, attempt } => self.withdraw(instance, id, attempt),
+            Action::Close(server) => {
+                let service = &self.topology.services[self.topology.instances[instance].service];
+                self.nodes[instance].idle[server.0 as usize - service.upstreams.start].0 = 0;
+            }
+            Action::SetTimer { after, token } => {
+                self.queue.push(self.queue.now().saturating_add(after), Event::Timer(instance as u32, token));
+            }
+            Action::Watch => self.discovery.watch(instance, &mut self.queue),
+            Action::Probe(_) => self.counts.probes += 1, // the settings allow none
+            Action::Log(_) => self.counts.logs += 1,
+        }
+    }
+
+    fn answer_id(&mut self, instance: usize, id: RequestId, answer: Answer) {
+        if let Some(&key) = self.nodes[instance].calls.get(&id) {
+            self.answer(key, answer);
+        }
+    }
+
+    fn withdraw(&mut self, instance: usize, id: RequestId, number: u32) {
+        let Some(&key) = self.nodes[instance].calls.get(&id) else { return };
+        let Some(out) = self.calls.get(key).and_then(|call| call.out) else { return };
+        let Some(attempt) = self.attempts.get_mut(out).filter(|attempt| attempt.number == number) else {
+            return;
+        };
+        attempt.waited = false;
+        let (sent, lost) = (attempt.sent, attempt.place == Place::Lost);
+        self.counts.withdrawals += 1;
+        let way = self.attempts.get(out).and_then(|attempt| self.way_of(attempt));
+        match way {
+            _ if lost => drop(self.attempts.remove(out)),
+            Some(way) => self.queue.push(self.queue.now() + way, Event::Withdrawn(out)),
+            None => {}
+        }
+        let Some(call) = self.calls.get_mut(key) else { return };
+        call.out = None;
+        let (elapsed, closed) = (self.queue.now() - sent, !call.owed);
+        let end =
+            End { attempt: number, outcome: Outcome::Cancelled, elapsed, closed, spent: false, load: None };
+        self.pending.push_back((instance, id, end));
+    }
+
+    // ---- The outcome ----
+
+    fn outcome(&self) -> report::Outcome {
+        let counts = &self.counts;
+        let requests = counts.requests;
+        let per = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
+        let span = (self.queue.now() - START) as f64 / 1e9;
+        let calls: u64 = counts.tiers.iter().map(|tier| tier.calls).sum();
+        let watched = &counts.tiers[self.config.watched_tier()];
+        let expected_at = |tier: usize| -> f64 {
+            let services = self.topology.services.iter().filter(|service| service.tier as usize == tier);
+            services.map(|service| service.calls_per_request).sum()
+        };
+        let last = &counts.tiers[self.config.depth as usize - 1];
+        let upstreams = self.topology.upstreams.len();
+        let balancers = upstreams + self.topology.fronts.len();
+        let instances = self.topology.instances.len();
+        let known: usize =
+            self.topology.instances.iter().map(|at| self.topology.services[at.service].upstreams.len()).sum();
+        let sizes = || self.topology.services.iter().map(|service| service.upstreams.len());
+        let (discovery, followed) = (&self.discovery, &self.discovery.followed);
+        let ms = |quantile: f64| self.latency.value_at_quantile(quantile) as f64 / 1e6;
+        let watched_expected = expected_at(self.config.watched_tier()).max(f64::MIN_POSITIVE);
+        let messages = 2 * counts.sends + counts.withdrawals + discovery.messages;
+        let figures = [
+            ("requests", requests.came as f64),
+            ("served_ratio", per(requests.served, requests.came)),
+            ("refused_ratio", per(requests.refused, requests.came)),
+            ("failed_ratio", per(requests.failed, requests.came)),
+            ("lost_ratio", per(requests.lost, requests.came)),
+            ("unfinished_requests", self.open_measured as f64),
+            ("p50_ms", ms(0.5)),
+            ("p99_ms", ms(0.99)),
+            ("p999_ms", ms(0.999)),
+            ("calls_per_virtual_s", counts.sends_in_time as f64 / self.config.duration_s),
+            ("calls_per_request", per(calls, requests.came)),
+            ("calls_expected_per_request", self.topology.calls_per_request),
+            ("retries_per_request", per(counts.retries, requests.came)),
+            ("retries_per_call", per(counts.retries, calls)),
+            ("last_tier_calls_per_request", per(last.calls, requests.came)),
+            ("watched_tier_calls_per_request", per(watched.calls, requests.came)),
+            ("watched_tier_amplification_ratio", per(watched.calls, requests.came) / watched_expected),
+            ("cross_zone_ratio", per(counts.cross_zone, counts.sends)),
+            ("cross_region_ratio", per(counts.cross_region, counts.sends)),
+            ("connects_per_call", per(counts.connects, counts.sends)),
+            ("events_per_call", per(self.queue.popped(), counts.sends)),
+            ("module_events_per_call", per(counts.module_events, counts.sends)),
+            ("messages_per_call", per(messages, counts.sends)),
+            ("list_calls_per_s", discovery.messages as f64 / span),
+            ("list_entries_per_s", discovery.entries_told as f64 / span),
+            ("list_calls_per_balancer_s", discovery.messages as f64 / span / balancers as f64),
+            ("list_failures", discovery.failures as f64),
+            ("list_changes", counts.changes as f64),
+            ("followed", followed.count as f64),
+            ("followed_s_max", followed.longest as f64 / 1e9),
+            ("followed_s_mean", followed.sum as f64 / 1e9 / followed.count.max(1) as f64),
+            ("told_s_max", followed.longest_told as f64 / 1e9),
+            ("untold_changes", discovery.untold() as f64),
+            ("cold_falls", counts.cold_falls as f64),
+            ("cold_calls", counts.cold_calls as f64),
+            ("restarts", counts.restarts as f64),
+            ("start_to_ready_s_max", counts.longest_start as f64 / 1e9),
+            ("log_lines", counts.logs as f64),
+            ("balancers", balancers as f64),
+            ("upstreams", upstreams as f64),
+            ("module_instances", instances as f64),
+            ("instances_per_balancer", instances as f64 / balancers as f64),
+            ("servers_known_per_balancer", known as f64 / balancers as f64),
+            ("calls_held_per_instance_max", counts.most_held as f64),
+            ("service_upstreams_min", sizes().min().unwrap_or(0) as f64),
+            ("service_upstreams_max", sizes().max().unwrap_or(0) as f64),
+        ];
+        report::Outcome {
+            figures: figures.into_iter().map(|(name, figure)| (name.to_owned(), figure)).collect(),
+            tables: vec![self.tier_table(), self.second_table()],
+        }
+    }
+
+    fn tier_table(&self) -> Table {
+        let columns = [
+            "tier",
+            "services",
+            "upstreams",
+            "calls per request",
+            "ok",
+            "error",
+            "full",
+            "timeout",
+            "not connected",
+            "reset",
+            "withdrawn",
+        ];
+        let requests = self.counts.requests.came.max(1) as f64;
+        let row = |(tier, count): (usize, &TierCount)| {
+            let services: Vec<_> =
+                self.topology.services.iter().filter(|s| s.tier as usize == tier).collect();
+            let upstreams: usize = services.iter().map(|service| service.upstreams.len()).sum();
+            let mut row = vec![(tier + 1).to_string(), services.len().to_string(), upstreams.to_string()];
+            row.push(format!("{:.4}", count.calls as f64 / requests));
+            let ends = [
+                count.ok,
+                count.errors,
+                count.full,
+                count.timeouts,
+                count.unconnected,
+                count.resets,
+                count.withdrawn,
+            ];
+            row.extend(ends.map(|count| count.to_string()));
+            row
+        };
+        Table {
+            title: "Calls by tier".to_owned(),
+            columns: columns.map(str::to_owned).to_vec(),
+            rows: self.counts.tiers.iter().enumerate().map(row).collect(),
+        }
+    }
+
+    fn second_table(&self) -> Table {
+        let columns = ["second", "requests", "served", "refused", "failed", "lost"];
+        let row = |(second, count): (usize, &RequestCount)| {
+            let figures = [second as u64, count.came, count.served, count.refused, count.failed, count.lost];
+            figures.map(|figure| figure.to_string()).to_vec()
+        };
+        let seconds = self.counts.seconds.iter().enumerate().filter(|(_, count)| count.came > 0);
+        Table {
+            title: "Requests by the second of the run in which they came".to_owned(),
+            columns: columns.map(str::to_owned).to_vec(),
+            rows: seconds.map(row).collect(),
+        }
+    }
+}
+
+/// A final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    Served,
+    Refused,
+    Failed,
+}
+
+/// A module instance as its balancer starts it.
+fn balancer(
+    config: &Config,
+    classes: &[Class],
+    topology: &Topology,
+    instance: &Instance,
+    seed: u64,
+    now: Time,
+) -> Balancer {
+    let tier = match instance.owner {
+        Owner::Front(_) => 0,
+        Owner::Upstream(upstream) => topology.services[topology.upstreams[upstream].service].tier + 1,
+    };
+    let settings = Settings {
+        classes: classes.to_vec(),
+        tenants: Vec::new(),
+        over_quota_worth: 1.0,
+        worth_by_work: false,
+        zone: ZoneId(instance.zone as u8),
+        zones: config.zones,
+        siblings: topology.services[instance.service].callers.len() as u32,
+        tier,
+        passes_deadline: true,
+        ask_discovery: config.discovery.ask,
+        ask_within: seconds(config.discovery.ask_within_s),
+        may_cancel: true,
+        max_retry_after: SECOND,
+        max_attempts: config.max_attempts,
+        conn_idle: seconds(config.conn_idle_s),
+        start_capacity: config.start_capacity,
+        tip_multiple: config.tip_multiple,
+        ramp_time: seconds(config.ramp_s),
+        report_inflight: None,
+        load_by_probe: false,
+        cross_price: config.cross_price,
+        probe_price: 1.0,
+    };
+    Balancer::new(settings, seed, now).expect("settings that come from a checked configuration hold")
+}
--- /dev/null
+++ b/scale/src/topology.rs
@@ -0,0 +1,269 @@
+//! Who calls whom: services in the tiers of a graph, their upstreams, and the balancers beside these.
+
+use crate::hollow::{Config, Shape};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+use std::ops::Range;
+
+/// A service: upstreams that do the same.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its tier, from 0: the length of the longest way to it from the clients, less one.
+    pub tier: u32,
+    /// Its upstreams, by position in `Topology::upstreams`.
+    pub upstreams: Range<usize>,
+    /// The services that it calls.
+    pub callees: Vec<Callee>,
+    /// Expected calls of it for each request of a client.
+    pub calls_per_request: f64,
+    /// Mean time of its own work on a call, in nanoseconds, when it is warm.
+    pub work: f64,
+    /// Calls that one of its upstreams works on at a time.
+    pub slots: u32,
+    /// The module instances that send to it, by position in `Topology::instances`.
+    pub callers: Vec<usize>,
+}
+
+/// A service that is called by another one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Callee {
+    /// Position in `Topology::services`.
+    pub service: usize,
+    /// How many in one calls of the caller lead to a call of it.
+    pub chance: f64,
+}
+
+/// A server of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Position in `Topology::services`.
+    pub service: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// The module instances of its balancer, one for each callee of its service, in that order.
+    pub instances: Range<usize>,
+}
+
+/// Whose balancer an instance belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// A front balancer, that the clients call.
+    Front(usize),
+    /// An upstream.
+    Upstream(usize),
+}
+
+/// One instance of the decision module. The module knows the list of one tier alone, as a real balancer does:
+/// a balancer whose upstream calls several services runs an instance for each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Whose it is.
+    pub owner: Owner,
+    /// The service that it sends to.
+    pub service: usize,
+    /// Its zone.
+    pub zone: usize,
+}
+
+/// A front balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Front {
+    /// Its zone.
+    pub zone: usize,
+    /// Its module instances, one for each entry, in that order.
+    pub instances: Range<usize>,
+}
+
+/// The whole fleet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Topology {
+    /// Services, a callee always after its callers.
+    pub services: Vec<Service>,
+    /// Upstreams, those of a service in a row.
+    pub upstreams: Vec<Upstream>,
+    /// Front balancers.
+    pub fronts: Vec<Front>,
+    /// Module instances.
+    pub instances: Vec<Instance>,
+    /// The services that clients call.
+    pub entries: Vec<usize>,
+    /// Expected calls for each request of a client, over all tiers, if none fails.
+    pub calls_per_request: f64,
+    /// Requests of clients a second.
+    pub request_rate: f64,
+}
+
+impl Topology {
+    /// Builds the fleet of a configuration that has been checked.
+    pub fn new(config: &Config, rng: &mut ChaCha8Rng) -> Self {
+        let mut topology = Self::default();
+        match config.shape {
+            Shape::Chain => topology.add_chain(config),
+            Shape::Graph => topology.add_graph(config, rng),
+        }
+        topology.expect_calls();
+        topology.request_rate = match config.requests {
+            0.0 => config.rate / topology.calls_per_request,
+            requests => requests,
+        };
+        let sizes = match config.shape {
+            Shape::Chain => vec![config.servers_per_tier; topology.services.len()],
+            Shape::Graph => topology.sizes(config.balancers),
+        };
+        topology.add_upstreams(config, &sizes, rng);
+        topology.add_instances(config);
+        topology
+    }
+
+    fn add_service(&mut self, tier: u32) {
+        self.services.push(Service {
+            tier,
+            upstreams: 0..0,
+            callees: Vec::new(),
+            calls_per_request: 0.0,
+            work: 0.0,
+            slots: 1,
+            callers: Vec::new(),
+        });
+    }
+
+    /// One service a tier; each call of one leads to a call of the next.
+    fn add_chain(&mut self, config: &Config) {
+        for tier in 0..config.depth {
+            self.add_service(tier);
+            if tier > 0 {
+                let callee = Callee { service: tier as usize, chance: 1.0 };
+                self.services[tier as usize - 1].callees.push(callee);
+            }
+        }
+        self.entries.push(0);
+    }
+
+    /// Services over all tiers. Each calls one of the next tier, most up to two more of the tiers after that, and
+    /// each is called by some other.
+    fn add_graph(&mut self, config: &Config, rng: &mut ChaCha8Rng) {
+        let depth = config.depth as usize;
+        let mut tiers: Vec<u32> = (0..config.services)
+            .map(|at| if at < depth { at } else { rng.random_range(0..depth) } as u32)
+            .collect();
+        tiers.sort_unstable();
+        tiers.into_iter().for_each(|tier| self.add_service(tier));
+        let in_tier: Vec<Vec<usize>> = (0..config.depth)
+            .map(|tier| (0..config.services).filter(|&at| self.services[at].tier == tier).collect())
+            .collect();
+        let mut called = vec![false; config.services];
+        for at in 0..config.services {
+            let tier = self.services[at].tier as usize;
+            if tier + 1 == depth {
+                continue;
+            }
+            let mut callees = vec![*in_tier[tier + 1].choose(rng).expect("each tier has a service")];
+            for _ in 0..rng.random_range(0..=2) {
+                let deeper = rng.random_range(tier + 1..depth.min(tier + 4));
+                let callee = *in_tier[deeper].choose(rng).expect("each tier has a service");
+                if !callees.contains(&callee) {
+                    callees.push(callee);
+                }
+            }
+            callees.iter().for_each(|&callee| called[callee] = true);
+            self.services[at].callees =
+                callees.into_iter().map(|service| Callee { service, chance: 0.0 }).collect();
+        }
+        for at in (0..config.services).filter(|&at| !called[at]) {
+            let tier = self.services[at].tier as usize;
+            if tier > 0 {
+                let caller = *in_tier[tier - 1].choose(rng).expect("each tier has a service");
+                self.services[caller].callees.push(Callee { service: at, chance: 0.0 });
+            }
+        }
+        // The first callee is the spine of the call tree and gets the weight of two.
+        for service in &mut self.services {
+            let weights = service.callees.len() as f64 + 1.0;
+            for (at, callee) in service.callees.iter_mut().enumerate() {
+                let weight = if at == 0 { 2.0 } else { 1.0 };
+                callee.chance = (config.calls_per_call * weight / weights).min(1.0);
+            }
+        }
+        self.entries = in_tier[0].clone();
+    }
+
+    fn expect_calls(&mut self) {
+        for &entry in &self.entries {
+            self.services[entry].calls_per_request = 1.0 / self.entries.len() as f64;
+        }
+        for at in 0..self.services.len() {
+            let calls = self.services[at].calls_per_request;
+            for callee in self.services[at].callees.clone() {
+                self.services[callee.service].calls_per_request += calls * callee.chance;
+            }
+        }
+        self.calls_per_request = self.services.iter().map(|service| service.calls_per_request).sum();
+    }
+
+    /// Shares out the upstreams: two for each service, or one where there are too few, and the rest by calls.
+    fn sizes(&self, upstreams: usize) -> Vec<usize> {
+        let least = if upstreams >= 2 * self.services.len() { 2 } else { 1 };
+        let rest = upstreams - least * self.services.len();
+        let share = |service: &Service| rest as f64 * service.calls_per_request / self.calls_per_request;
+        let mut sizes: Vec<usize> =
+            self.services.iter().map(|service| least + share(service) as usize).collect();
+        let mut by_remainder: Vec<usize> = (0..self.services.len()).collect();
+        by_remainder.sort_by(|&a, &b| {
+            let [a, b] = [a, b].map(|at| share(&self.services[at]).fract());
+            b.total_cmp(&a)
+        });
+        let missing = upstreams - sizes.iter().sum::<usize>();
+        by_remainder.into_iter().cycle().take(missing).for_each(|at| sizes[at] += 1);
+        sizes
+    }
+
+    /// Zones of a service's upstreams follow each other so that the regions alternate: two are in two regions.
+    fn add_upstreams(&mut self, config: &Config, sizes: &[usize], rng: &mut ChaCha8Rng) {
+        let per_region = config.zones / config.regions;
+        let spread = LogNormal::new(0.0, config.service_spread).expect("the spread has been checked");
+        for (at, &size) in sizes.iter().enumerate() {
+            let first = rng.random_range(0..config.zones);
+            let start = self.upstreams.len();
+            for position in first..first + size {
+                let (region, place) = (position % config.regions, position / config.regions % per_region);
+                let zone = region * per_region + place;
+                self.upstreams.push(Upstream { service: at, zone, instances: 0..0 });
+            }
+            let service = &mut self.services[at];
+            service.upstreams = start..self.upstreams.len();
+            service.work = config.service_ms * 1e6 * spread.sample(rng);
+            let rate = service.calls_per_request * self.request_rate / size as f64;
+            service.slots = (rate * service.work / 1e9 / config.utilisation).ceil().max(1.0) as u32;
+        }
+    }
+
+    fn add_instances(&mut self, config: &Config) {
+        for front in 0..config.fronts {
+            let (zone, first) = (front % config.zones, self.instances.len());
+            for service in self.entries.clone() {
+                self.add_instance(Instance { owner: Owner::Front(front), service, zone });
+            }
+            self.fronts.push(Front { zone, instances: first..self.instances.len() });
+        }
+        for at in 0..self.upstreams.len() {
+            let (zone, first) = (self.upstreams[at].zone, self.instances.len());
+            for callee in self.services[self.upstreams[at].service].callees.clone() {
+                self.add_instance(Instance { owner: Owner::Upstream(at), service: callee.service, zone });
+            }
+            self.upstreams[at].instances = first..self.instances.len();
+        }
+    }
+
+    fn add_instance(&mut self, instance: Instance) {
+        self.services[instance.service].callers.push(self.instances.len());
+        self.instances.push(instance);
+    }
+
+    /// Whether two zones lie in different regions.
+    pub fn regions_differ(config: &Config, zone: usize, other: usize) -> bool {
+        let per_region = config.zones / config.regions;
+        zone / per_region != other / per_region
+    }
+}
