--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -624,7 +624,7 @@
             cuts: 0,
             actions: Vec::new(),
             pending: VecDeque::new(),
-            latency: Histogram::new(3).expect("three digits are allowed"),
+            latency: Histogram::new_with_max(3_600 * SECOND, 3).expect("these bounds are allowed"),
             open_measured: 0,
             measure_from,
             arrivals_end,
