--- a/scale/src/engine.rs
+++ b/scale/src/engine.rs
@@ -135,9 +135,10 @@
                 self.far.pop();
                 self.place(entry);
             }
-            let bucket = &mut self.calendar[(self.edge % BUCKETS) as usize];
+            // Its room is given back: kept in all buckets, it would be many times what is ever held at once.
+            let bucket = std::mem::take(&mut self.calendar[(self.edge % BUCKETS) as usize]);
             self.in_calendar -= bucket.len();
-            self.open.extend(bucket.drain(..));
+            self.open.extend(bucket);
             self.edge += 1;
         }
     }
--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -389,8 +389,9 @@
     class: usize,
     sent: Time,
     until: Time,
-    /// It opens a connection.
+    /// It opens a connection, or goes out on one to a process that is gone.
     connects: bool,
+    stale: bool,
     /// Its balancer waits for it.
     waited: bool,
     place: Place,
@@ -430,8 +431,17 @@
     alive: bool,
     next_id: u32,
     calls: HashMap<RequestId, Key>,
-    /// Idle connections to each upstream of its service, and when the last was used.
-    idle: Vec<(u32, Time)>,
+    /// Idle connections to each upstream of its service.
+    idle: Vec<Idle>,
+}
+
+/// Idle connections of an instance to an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Idle {
+    count: u32,
+    /// When the last was used, and the process of the upstream that it leads to.
+    used: Time,
+    process: u32,
 }
 
 /// When a change of a list holds, once it is noticed.
@@ -578,7 +588,7 @@
                 alive: true,
                 next_id: 0,
                 calls: HashMap::new(),
-                idle: vec![(0, 0); topology.services[instance.service].upstreams.len()],
+                idle: vec![Idle::default(); topology.services[instance.service].upstreams.len()],
             })
             .collect();
         let measure_from = START + seconds(config.warmup_s);
@@ -817,9 +827,10 @@
         }
         let upstream = server.0 as usize;
         let service = &self.topology.services[self.topology.instances[instance].service];
-        let (idle, used) = &mut node.idle[upstream - service.upstreams.start];
-        let connects = *idle == 0 || now.saturating_sub(*used) >= seconds(self.config.conn_idle_s);
-        *idle = if connects { 0 } else { *idle - 1 };
+        let idle = &mut node.idle[upstream - service.upstreams.start];
+        let connects = idle.count == 0 || now.saturating_sub(idle.used) >= seconds(self.config.conn_idle_s);
+        idle.count = if connects { 0 } else { idle.count - 1 };
+        let stale = !connects && idle.process != self.servers[upstream].process;
         let attempt = Attempt {
             call: key,
             number,
@@ -828,6 +839,7 @@
             sent: now,
             until,
             connects,
+            stale,
             waited: true,
             place: Place::Coming,
             outcome: Outcome::Ok,
@@ -924,8 +936,10 @@
         let (instance, id, owed) = (call.instance, call.id, call.owed);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             let service = &self.topology.services[self.topology.instances[instance].service];
-            let (idle, used) = &mut self.nodes[instance].idle[attempt.upstream - service.upstreams.start];
-            (*idle, *used) = (*idle + 1, now);
+            let idle = &mut self.nodes[instance].idle[attempt.upstream - service.upstreams.start];
+            let process = self.servers[attempt.upstream].process;
+            let count = if idle.process == process { idle.count + 1 } else { 1 };
+            *idle = Idle { count, used: now, process };
         }
         let served = outcome == Outcome::Ok && owed;
         let end = End {
@@ -953,7 +967,8 @@
             self.attempts.remove(key);
             return;
         }
-        let (upstream, connects, sent) = (attempt.upstream, attempt.connects, attempt.sent);
+        let (upstream, connects, stale, sent) =
+            (attempt.upstream, attempt.connects, attempt.stale, attempt.sent);
         let through = self.way_of(attempt).is_some();
         let life = self.servers[upstream].life;
         if !through || life == Life::Silent {
@@ -968,6 +983,9 @@
         if life == Life::Down {
             return self.finish(key, Outcome::ConnectFailed);
         }
+        if stale {
+            return self.finish(key, Outcome::Reset);
+        }
         if self.falls(upstream) {
             self.counts.cold_falls += 1;
             let process = self.servers[upstream].process;
@@ -1253,8 +1271,14 @@
         }
     }
 
-    /// The process of an upstream ends, and with it its balancer.
+    /// The process of an upstream ends, and with it its balancer. Connections to it are reset, unless its machine
+    /// is gone: then they are found out when they are used.
     fn stop(&mut self, upstream: usize, life: Life) {
+        let service = &self.topology.services[self.topology.upstreams[upstream].service];
+        if life == Life::Down {
+            let place = upstream - service.upstreams.start;
+            service.callers.iter().for_each(|&caller| self.nodes[caller].idle[place].count = 0);
+        }
         let server = &mut self.servers[upstream];
         server.life = life;
         server.process += 1;
@@ -1307,7 +1331,7 @@
             let node = &mut self.nodes[instance];
             node.alive = false;
             node.calls.clear();
-            node.idle.fill((0, 0));
+            node.idle.fill(Idle::default());
             self.discovery.gone(instance);
         }
     }
@@ -1385,7 +1409,7 @@
             Action::Cancel { id, attempt } => self.withdraw(instance, id, attempt),
             Action::Close(server) => {
                 let service = &self.topology.services[self.topology.instances[instance].service];
-                self.nodes[instance].idle[server.0 as usize - service.upstreams.start].0 = 0;
+                self.nodes[instance].idle[server.0 as usize - service.upstreams.start].count = 0;
             }
             Action::SetTimer { after, token } => {
                 self.queue.push(self.queue.now().saturating_add(after), Event::Timer(instance as u32, token));
