--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -29,6 +29,8 @@
 const FALL_STEPS: usize = 10;
 /// How often progress is told of.
 const PROGRESS_EVERY: Time = SECOND / 10;
+/// Most rows of a table over time.
+const MOST_ROWS: usize = 120;
 
 /// The form of the call graph.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
@@ -1569,17 +1571,28 @@
         }
     }
 
+    /// What came of the requests over time, in as many seconds for a row as keep the table short.
     fn second_table(&self) -> Table {
-        let columns = ["second", "requests", "served", "refused", "failed", "lost"];
-        let row = |(second, count): (usize, &RequestCount)| {
-            let figures = [second as u64, count.came, count.served, count.refused, count.failed, count.lost];
+        let columns = ["from second", "requests", "served", "refused", "failed", "lost"];
+        let seconds = &self.counts.seconds;
+        let width = seconds.len().div_ceil(MOST_ROWS);
+        let row = |(at, counts): (usize, &[RequestCount])| {
+            let sum = |field: fn(&RequestCount) -> u64| counts.iter().map(field).sum::<u64>();
+            let figures = [
+                (at * width) as u64,
+                sum(|count| count.came),
+                sum(|count| count.served),
+                sum(|count| count.refused),
+                sum(|count| count.failed),
+                sum(|count| count.lost),
+            ];
             figures.map(|figure| figure.to_string()).to_vec()
         };
-        let seconds = self.counts.seconds.iter().enumerate().filter(|(_, count)| count.came > 0);
+        let rows = seconds.chunks(width).enumerate().map(row);
         Table {
             title: "Requests by the second of the run in which they came".to_owned(),
             columns: columns.map(str::to_owned).to_vec(),
-            rows: seconds.map(row).collect(),
+            rows: rows.filter(|row| row[1] != "0").collect(),
         }
     }
 }
--- a/scale/tests/hollow.rs
+++ b/scale/tests/hollow.rs
@@ -297,6 +297,15 @@
     assert!(figure(&outcome, "p999_ms") <= 41.0, "a deadline passed unseen: {:?}", outcome.figures);
 }
 
+#[test]
+fn a_long_run_has_a_short_table_that_counts_all() {
+    let outcome = quietly(&Config { rate: 20.0, duration_s: 700.0, warmup_s: 0.0, ..small() }, 1);
+    let rows = &outcome.tables[1].rows;
+    assert!((100..=120).contains(&rows.len()), "{} rows", rows.len());
+    let requests: f64 = rows.iter().map(|row| row[1].parse::<f64>().expect("a count")).sum();
+    assert_eq!(requests, figure(&outcome, "requests"));
+}
+
 #[test]
 fn progress_is_told_up_to_the_end() {
     let told = std::cell::RefCell::new(Vec::new());
