--- a/scale/src/discovery.rs
+++ b/scale/src/discovery.rs
@@ -266,13 +266,14 @@
         watcher.number += 1;
         self.messages += 1;
         let (number, now) = (watcher.number, queue.now());
-        // A connection that exists goes silent with its call, a new one does not come up.
+        // A connection that exists goes silent with its call, a new one does not come up. A call that does not go on
+        // with a watch does not wait.
         let patience = if watcher.continues { WATCH_WAIT + WATCH_SILENCE } else { CONNECT };
         let reachable = !self.down && !watcher.cut;
         if reachable {
             queue.push(now + millis(self.config.network_ms), Event::Asked(instance, number).into());
         }
-        let patience = if reachable { WATCH_WAIT + WATCH_SILENCE } else { patience };
+        let patience = if reachable && !watcher.continues { WATCH_SILENCE } else { patience };
         queue.push(now + patience, Event::Silent(instance, number).into());
     }
 
@@ -298,12 +299,13 @@
             return (at, Told::Nothing);
         }
         let reachable = !self.down && !watcher.cut;
-        let (service, version) = (watcher.service, watcher.version);
+        let (service, version, continues) = (watcher.service, watcher.version, watcher.continues);
         match event {
             Event::Told(..) if reachable => return (at, self.on_told(instance, queue)),
             Event::Told(..) if !self.config.ask => self.watchers[at].busy = false,
             Event::Asked(..) if reachable => {
-                if version < self.lists[service].changes.len() {
+                // What was missed is asked for without a wait, and so answered even where there is nothing new.
+                if version < self.lists[service].changes.len() || !continues {
                     self.answer(instance, number, queue);
                 } else {
                     self.lists[service].waiting.push((instance, number));
--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -503,23 +503,33 @@
 
     // ---- Attempts, at the balancer ----
 
-    fn send(&mut self, instance: usize, id: RequestId, server: ServerId, until: Time) {
+    /// `times` are when the attempt is given up, and when it must have begun.
+    fn send(&mut self, instance: usize, id: RequestId, server: ServerId, times: (Time, Option<Time>)) {
         let now = self.queue.now();
+        let (until, begin_by) = times;
         let node = &mut self.nodes[instance];
         let Some(&key) = node.calls.get(&id) else { return };
         let Some(call) = self.calls.get_mut(key) else { return };
         let (number, until) = (call.attempts, until.min(call.deadline));
         call.attempts += 1;
-        if !call.owed || now >= until || number >= self.config.max_attempts {
+        let upstream = server.0 as usize;
+        let service = &self.topology.services[self.topology.instances[instance].service];
+        let (zone, other) = (self.topology.instances[instance].zone, self.topology.upstreams[upstream].zone);
+        let way = way(self.config, zone, other);
+        let idle = &mut node.idle[upstream - service.upstreams.start];
+        let connects = idle.count == 0 || now.saturating_sub(idle.used) >= seconds(self.config.conn_idle_s);
+        let handshake = if connects { 2 * way } else { 0 };
+        let begins = now + own_time(self.config) + handshake;
+        if !call.owed
+            || now >= until
+            || begin_by.is_some_and(|end| begins >= end)
+            || number >= self.config.max_attempts
+        {
             let closed = !call.owed;
             let end =
                 End { attempt: number, outcome: Outcome::Moot, elapsed: 0, closed, spent: false, load: None };
             return self.pending.push_back((instance, id, end));
         }
-        let upstream = server.0 as usize;
-        let service = &self.topology.services[self.topology.instances[instance].service];
-        let idle = &mut node.idle[upstream - service.upstreams.start];
-        let connects = idle.count == 0 || now.saturating_sub(idle.used) >= seconds(self.config.conn_idle_s);
         idle.count = if connects { 0 } else { idle.count - 1 };
         let stale = !connects && idle.process != self.servers[upstream].process;
         let attempt = Attempt {
@@ -545,35 +555,18 @@
         self.counts.sends += 1;
         self.counts.sends_in_time += u64::from(now >= self.measure_from && now < self.arrivals_end);
         self.counts.connects += u64::from(connects);
-        let (zone, other) = (self.topology.instances[instance].zone, self.topology.upstreams[upstream].zone);
         self.counts.cross_zone += u64::from(zone != other);
         self.counts.cross_region += u64::from(Topology::regions_differ(self.config, zone, other));
-        let way = self.way(zone, other);
-        let handshake = if connects { 2 * way } else { 0 };
-        self.queue.push(now + self.own_time() + handshake + way, Event::Reached(out));
+        self.queue.push(begins + way, Event::Reached(out));
         self.queue.push(until, Event::Expired(out));
     }
 
-    /// What a balancer adds to a call, or to its answer.
-    fn own_time(&self) -> Time {
-        (self.config.balancer_us * 1e3) as Time
-    }
-
-    /// Time from one zone to another.
-    fn way(&self, zone: usize, other: usize) -> Time {
-        millis(match (zone == other, Topology::regions_differ(self.config, zone, other)) {
-            (true, _) => self.config.same_zone_ms,
-            (_, true) => self.config.cross_region_ms,
-            (_, false) => self.config.cross_zone_ms,
-        })
-    }
-
     /// Time from a balancer to the upstream of an attempt; `None` if nothing gets through.
     fn way_of(&self, attempt: &Attempt) -> Option<Time> {
         let zone = self.topology.instances[self.calls.get(attempt.call)?.instance].zone;
         let other = self.topology.upstreams[attempt.upstream].zone;
         let cut = self.regions_cut && Topology::regions_differ(self.config, zone, other);
-        (!cut).then(|| self.way(zone, other))
+        (!cut).then(|| way(self.config, zone, other))
     }
 
     fn on_answered(&mut self, key: Key) {
@@ -799,7 +792,7 @@
         let waited = attempt.waited;
         match way {
             Some(way) => {
-                let at = self.queue.now() + way + self.own_time();
+                let at = self.queue.now() + way + own_time(self.config);
                 self.queue.push(at, Event::Answered(key));
                 if let Some(attempt) = self.attempts.get_mut(key) {
                     (attempt.place, attempt.outcome) = (Place::Answering, outcome);
@@ -1094,7 +1087,9 @@
 
     fn act(&mut self, instance: usize, action: Action) {
         match action {
-            Action::Send { id, server, until } => self.send(instance, id, server, until),
+            Action::Send { id, server, until, begin_by } => {
+                self.send(instance, id, server, (until, begin_by))
+            }
             Action::Refuse { id, .. } => self.answer_id(instance, id, Answer::Refused),
             Action::Fail(id) => self.answer_id(instance, id, Answer::Failed),
             Action::Cancel { id, attempt } => self.withdraw(instance, id, attempt),
@@ -1188,3 +1183,17 @@
     };
     Balancer::new(settings, seed, now).expect("settings that come from a checked configuration hold")
 }
+
+/// What a balancer adds to a call, or to its answer.
+fn own_time(config: &Config) -> Time {
+    (config.balancer_us * 1e3) as Time
+}
+
+/// Time from one zone to another.
+fn way(config: &Config, zone: usize, other: usize) -> Time {
+    millis(match (zone == other, Topology::regions_differ(config, zone, other)) {
+        (true, _) => config.same_zone_ms,
+        (_, true) => config.cross_region_ms,
+        (_, false) => config.cross_zone_ms,
+    })
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -223,7 +223,9 @@
         } else {
             // What waits in the backlog counts as taken, and closing the listener would reset it.
             let rest = async {
-                while let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await {
+                loop {
+                    server.has_room().await;
+                    let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await else { return };
                     server.take(tcp, &closing);
                 }
             };
@@ -264,13 +266,8 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
-        let most = self.config.limits.callers;
         loop {
-            // The surplus is refused at once and the silent are sent away, so there is soon room again.
-            while self.count() >= most + SURPLUS {
-                self.close_idle();
-                self.left.notified().await;
-            }
+            self.has_room().await;
             match listener.accept().await {
                 Ok((tcp, _)) => self.take(tcp, closing),
                 Err(error) => {
@@ -285,6 +282,15 @@
         }
     }
 
+    /// Waits until one more connection may be taken. The surplus is refused at once and the silent are sent away, so
+    /// that is soon.
+    async fn has_room(&self) {
+        while self.count() >= self.config.limits.callers + SURPLUS {
+            self.close_idle();
+            self.left.notified().await;
+        }
+    }
+
     fn count(&self) -> usize {
         lock(&self.callers).len()
     }
@@ -405,6 +411,7 @@
         let deadline = if whole { has_come() } else { Instant::now() + budget };
         let call = Call { id, request, class, tenant, work, deadline, answer };
         self.driver.send(Input::Called(Box::new(call))).ok();
+        let left = Err((StatusCode::BAD_REQUEST, "the caller has left\n")); // nobody reads this
         let early = match came {
             None => None,
             Some(came) => tokio::select! {
@@ -414,6 +421,8 @@
                     None
                 }
                 answer = &mut answered => Some(answer),
+                // Nobody reads on while an attempt waits for its connection.
+                () = line.closed() => return left,
             },
         };
         let answer = match early {
@@ -421,8 +430,7 @@
             None => tokio::select! {
                 biased;
                 answer = answered => answer,
-                // Nobody reads this; with it the request is given up.
-                () = line.left() => return Err((StatusCode::BAD_REQUEST, "the caller has left\n")),
+                () = line.left() => return left, // with it the request is given up
             },
         };
         owed.0 = None;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -83,10 +83,12 @@
 const SHED_MOST: f64 = 0.9;
 /// Time over which call rates are averaged: a few calls at the smallest balancer.
 const RATE_WINDOW: Duration = 5 * SECOND;
-/// First subscriptions are spread over this much for each sibling: discovery's capacity is fixed.
-const WATCH_SPACING: Duration = SECOND / 10;
-/// First wait before a failed subscription is tried again, doubling up to a cap.
-const WATCH_BACKOFF: (Duration, Duration) = (SECOND, 8 * SECOND);
+/// First subscriptions are spread over this much for each sibling: discovery's capacity is fixed. The cap
+/// leaves time for two calls that fail, until what came during the start counts as told after 6 s.
+const WATCH_SPACING: (Duration, Duration) = (SECOND / 10, 2 * SECOND);
+/// First wait before a failed subscription is tried again, doubling up to a cap. It is in the sums of
+/// docs/design.md, which have to stay under the 6 s after which a change counts as told.
+const WATCH_BACKOFF: (Duration, Duration) = (7 * SECOND / 20, 3 * SECOND / 2);
 const WATCH_TOKEN: u64 = u64::MAX;
 /// Servers that are asked for their load before a call is sent.
 const ASKED: usize = 4;
@@ -191,6 +193,7 @@
             Event::ListChange(entries) => self.on_list(entries, false),
             Event::List(entries) => self.on_list(entries, true),
             Event::ListFailed => self.on_list_failed(),
+            Event::ListMoved => self.on_list_moved(),
             Event::Request(id, demand) => self.on_request(id, demand),
             Event::Started(id, attempt) => self.on_started(id, attempt),
             Event::Ended(id, end) => self.on_ended(id, end),
@@ -224,8 +227,8 @@
         self.forget_gone();
         self.rebuild_pools();
         if self.watch_failures.replace(0).is_none() && self.settings.ask_discovery {
-            let spread = WATCH_SPACING * Duration::from(self.settings.siblings);
-            self.watch_within(spread.min(self.settings.ask_within / 2));
+            let spread = WATCH_SPACING.0.saturating_mul(Duration::from(self.settings.siblings));
+            self.watch_within(spread.min(WATCH_SPACING.1).min(self.settings.ask_within / 2));
         }
     }
 
@@ -342,6 +345,12 @@
         );
     }
 
+    /// The failures of the service before say nothing of the new one. All siblings hear of it at once.
+    fn on_list_moved(&mut self) {
+        self.watch_failures = Some(0);
+        self.watch_within(WATCH_BACKOFF.0);
+    }
+
     fn watch_within(&mut self, most: Duration) {
         self.actions.push(Action::SetTimer { after: self.rng.u64(..=most), token: WATCH_TOKEN });
     }
@@ -394,7 +403,8 @@
     }
 
     fn send(&mut self, id: RequestId, mut request: Request, at: usize) {
-        let (until, latency) = (self.attempt_limit(&request), &self.classes[request.class]);
+        let (until, begin_by) = (self.attempt_limit(&request), self.window_end(&request));
+        let latency = &self.classes[request.class];
         if latency.calls >= KNOWN && !request.streamed {
             let token = u64::from(request.attempts) << 32 | u64::from(id.0);
             self.actions.push(Action::SetTimer { after: latency.above(LATE_DEVS), token });
@@ -406,7 +416,7 @@
         let server = &mut self.servers[at];
         server.budget -= if warm { 0.0 } else { 1.0 };
         server.breaker.trial |= server.breaker.tripped;
-        self.actions.push(Action::Send { id, server: server.id, until });
+        self.actions.push(Action::Send { id, server: server.id, until, begin_by });
         request.trial = server.breaker.tripped;
         request.sent = Some((at, now));
         request.attempts += 1;
@@ -649,7 +659,11 @@
         // after a release, nothing would ever be. It goes by what it takes on until it knows better.
         let fresh = self.now < self.fresh_until;
         let known = if fresh { served.max(self.taken_on.per_second(self.now, RATE_WINDOW)) } else { served };
-        let rate = known * warmth * ease / self.pools[pool].size.max(f64::MIN_POSITIVE);
+        // To another zone only some calls cross, yet from every zone: by the size of that zone, all of them
+        // together would send its cold servers many times their share.
+        let own = pool == usize::from(self.settings.zone.0);
+        let share = &self.pools[if own { pool } else { self.settings.zones }];
+        let rate = known * warmth * ease / share.size.max(f64::MIN_POSITIVE);
         let server = &mut self.servers[at];
         let passed = (self.now - server.budget_at) as f64 / SECOND as f64;
         server.budget = (server.budget + rate * server.size * passed).min(1.0);
@@ -980,10 +994,15 @@
 
     /// Whether another attempt can do no harm: rule 2, but for the group of servers.
     fn harmless(&self, request: &Request) -> bool {
+        let may_repeat = self.repeatable(request.class) || request.may_have_run.is_none();
+        may_repeat && self.window_end(request).is_none_or(|end| self.now < end)
+    }
+
+    /// Until when the servers drop the repeats of a keyed request that may have run.
+    fn window_end(&self, request: &Request) -> Option<Time> {
         match (self.settings.classes[request.class].effect, request.may_have_run) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, _) => false,
-            (Effect::Keyed(_, window), Some((_, sent))) => self.now < sent.saturating_add(window),
+            (Effect::Keyed(_, window), Some((_, sent))) => Some(sent.saturating_add(window)),
+            _ => None,
         }
     }
 
