Bound the amplification over depth and the time to be told by what the module holds now

The bound of 1.2 a tier gives way to 1.5 calls at any depth, to 21, and that of 8.6 s to be told to 3.0 s. The scenarios on virtual time say what they expect.

--- a/scale/tests/hollow.rs
+++ b/scale/tests/hollow.rs
@@ -6,15 +6,12 @@
 use woadstall_scale::report::Outcome;
 use woadstall_scale::topology::{Owner, Topology};
 
-/// What each tier multiplies the calls of a tier that fails wholly by, as its retry budget earns a fifth of a retry
-/// for every request whether retries help or not. A budget that earns from what is served brings this to 1, with
-/// `MOST_CALLS` at any depth: tighten both with it.
-const RETRIES_PER_TIER: f64 = 1.2;
-/// Beside that, what chance and the first ten retries of each balancer add.
-const RETRIES_CHANCE: f64 = 1.1;
-/// From the end of an outage until a balancer that asks for its lists has them: the module waits up to 8 s
-/// after a failure, and a call takes its turn. The target is 6 s.
-const ASKED_AGAIN_S: f64 = 8.6;
+/// Most calls of a tier that fails wholly for each request, at any depth: the module ends the retries of a class
+/// where they are futile.
+const MOST_CALLS: f64 = 1.5;
+/// From the end of an outage until a balancer that asks for its lists has them: the module waits up to 1.5 s
+/// after a failure, a call that began before the end is silent for 1 s, and its turn takes the rest. The target is 6 s.
+const ASKED_AGAIN_S: f64 = 3.0;
 
 fn figure(outcome: &Outcome, name: &str) -> f64 {
     *outcome.figures.get(name).unwrap_or_else(|| panic!("no figure `{name}`"))
@@ -150,21 +147,19 @@
 }
 
 #[test]
-fn a_tier_that_fails_wholly_gets_no_more_than_the_budget_of_each_tier_adds() {
-    let mut calls = Vec::new();
-    for depth in [1, 3, 8, 12] {
+fn a_tier_that_fails_wholly_gets_few_calls_more_at_any_depth() {
+    for depth in [1, 3, 8, 12, 21] {
         let mut config = chain(depth);
         config.tier_fault.for_s = 60.0;
-        config.requests = if depth > 8 { 100.0 } else { 200.0 };
         let outcome = quietly(&config, 1);
         let last = figure(&outcome, "last_tier_calls_per_request");
-        let most = RETRIES_PER_TIER.powi(depth as i32) * RETRIES_CHANCE;
-        assert!(last <= most, "depth {depth}: {last} calls of the last tier, {most} at most");
+        assert!(last <= MOST_CALLS, "depth {depth}: {last} calls of the last tier, {MOST_CALLS} at most");
         assert!(last >= 0.9, "depth {depth}: only {last} calls came to the last tier");
         assert!(figure(&outcome, "served_ratio") < 0.001, "depth {depth}");
-        calls.push(last);
+        if depth == 1 {
+            assert!(last < 1.1, "one tier: {last}");
+        }
     }
-    assert!(calls[0] < 1.3, "one tier: {}", calls[0]);
 }
 
 #[test]
