--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -563,8 +563,8 @@
 pub struct Crowd(Arc<AtomicBool>);
 
 impl Crowd {
-    /// They say nothing at all, or make one call each and rest.
-    pub fn gather(address: SocketAddr, size: usize, asks: bool) -> Self {
+    /// Each says this, and nothing more.
+    pub fn gather(address: SocketAddr, size: usize, says: fn() -> String) -> Self {
         const AT_ONCE: usize = 20; // more than are taken beyond the places
         let (dispersed, mut held) = (Arc::new(AtomicBool::new(false)), Vec::new());
         let is_over = dispersed.clone();
@@ -573,9 +573,7 @@
                 held.retain_mut(is_open);
                 for _ in held.len()..size.min(held.len() + AT_ONCE) {
                     let Ok(mut caller) = TcpStream::connect_timeout(&address, PATIENCE) else { break };
-                    if asks {
-                        caller.write_all(request("look", LONG, "").as_bytes()).ok();
-                    }
+                    caller.write_all(says().as_bytes()).ok();
                     caller.set_nonblocking(true).unwrap();
                     held.push(caller);
                 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::process::*;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A configuration in which lists are asked for, or pushed.
@@ -585,8 +586,127 @@
 
 // ---- Idle callers that fill the descriptors ----
 
-/// Few descriptors.
+/// Few descriptors, and what a balancer with so few leaves of them to connections to upstreams and to callers.
 const SOCKETS: usize = 96;
+const TO_UPSTREAMS: usize = 32;
+const TO_CALLERS: usize = 32;
+/// Standard streams, the listener, the runtime's.
+const OWN: usize = 10;
+
+/// What each of a crowd says: nothing, one call, or a part of one.
+const SAYINGS: [fn() -> String; 3] =
+    [String::new, || request("look", LONG, ""), || request("look", LONG, "")[..20].into()];
+const PART_OF_A_CALL: usize = 2;
+
+fn crowded(mode: &str, discovery: std::net::SocketAddr, known: &[String]) -> serde_json::Value {
+    let mut config = config(discovery, known);
+    config["settings"]["Discovery"] = mode.into();
+    config["settings"]["Safety"]["AskWithinNs"] = 10_000_000_000_u64.into();
+    config["limits"]["sockets"] = SOCKETS.into();
+    config
+}
+
+/// Waits until a caller that comes among a crowd is served by the upstream that answers so.
+fn serves(program: &Program, body: &str) {
+    eventually(body, || {
+        program.connect().call("look", LONG, "").is_some_and(|answer| answer.body == body.as_bytes())
+    });
+}
+
+/// Ends a program that never lacked a descriptor.
+fn had_descriptors(program: Program, case: &str) {
+    program.terminate();
+    let (status, log) = program.end();
+    assert!(status.success() && !log.contains("os error 24"), "{case}: {log}");
+}
+
+/// Guards discovery and upstreams against idle callers, where calls hold all but two connections to upstreams: the
+/// return of discovery with its first list, the watch, SIGHUP and the connections to new upstreams find their
+/// descriptors, as if nobody were there.
+#[test]
+fn idle_callers_leave_descriptors_to_discovery_and_to_upstreams() {
+    std::thread::scope(|scope| {
+        for mode in ["push", "ask"] {
+            (0..SAYINGS.len()).for_each(|saying| drop(scope.spawn(move || follows_in_a_crowd(mode, saying))));
+        }
+    });
+}
+
+fn follows_in_a_crowd(mode: &str, saying: usize) {
+    let case = format!("{mode}, {saying}");
+    let holding = Arc::new(Mutex::new(()));
+    let held = holding.lock().unwrap();
+    let until = holding.clone();
+    let old = Upstream::start(move |message| {
+        if message.first_line.starts_with("POST") {
+            drop(until.lock());
+        }
+        Act::Answer(ok("old"))
+    });
+    let [new, newer, last] =
+        ["new", "newer", "last"].map(|body| Upstream::start(move |_| Act::Answer(ok(body))));
+    let (down, second) = (Down::open(), Discovery::start());
+    let mut config = crowded(mode, down.address, &in_service(&[&old]));
+    let program = Program::start_limited(&config);
+    let mut calling: Vec<Caller> = (2..TO_UPSTREAMS).map(|_| program.connect()).collect();
+    for caller in &mut calling {
+        caller.send("post", LONG, "b");
+        old.request();
+    }
+    let crowd = Crowd::gather(program.address, 2 * TO_CALLERS, SAYINGS[saying]);
+    eventually("all places are taken", || program.descriptors() >= OWN + calling.len() + TO_CALLERS);
+    // One that says a part of a call keeps its place for some time, and others out: not discovery.
+    let is_served = |body| {
+        if saying != PART_OF_A_CALL {
+            serves(&program, body)
+        }
+    };
+
+    let told = Instant::now();
+    let first = down.back(&[target("s-new", new.address, "in_service")]);
+    first.watched();
+    assert!(told.elapsed() < TOLD, "{case}: back, told after {:?}", told.elapsed());
+    is_served("new");
+
+    let told = Instant::now();
+    first.publish(&[target("s-newer", newer.address, "in_service")]);
+    assert!(told.elapsed() < TOLD, "{case}: watch, told after {:?}", told.elapsed());
+    is_served("newer");
+
+    second.set(&[target("s-last", last.address, "in_service")]);
+    config["discovery"] = second.address.to_string().into();
+    let told = Instant::now();
+    program.reload(&config.to_string());
+    second.watched();
+    assert!(told.elapsed() < TOLD_AFTER_HANGUP, "{case}: hangup, told after {:?}", told.elapsed());
+    is_served("last");
+
+    drop((held, crowd));
+    calling
+        .iter_mut()
+        .for_each(|caller| assert_eq!(caller.answer().expect("an answer").body, b"old", "{case}"));
+    drop(calling);
+    had_descriptors(program, &case);
+}
+
+/// Guards the first list of a process that knows no upstream against callers who are there before it.
+#[test]
+fn idle_callers_leave_a_descriptor_to_the_first_list() {
+    for mode in ["push", "ask"] {
+        let new = Upstream::start(|_| Act::Answer(ok("new")));
+        let down = Down::open();
+        let program = Program::start_limited(&crowded(mode, down.address, &[]));
+        let crowd = Crowd::gather(program.address, 3 * TO_CALLERS, SAYINGS[0]);
+        eventually("all places are taken", || program.descriptors() >= OWN + TO_CALLERS);
+        let told = Instant::now();
+        let discovery = down.back(&in_service(&[&new]));
+        discovery.watched();
+        assert!(told.elapsed() < TOLD, "{mode}: told after {:?}", told.elapsed());
+        serves(&program, "new");
+        drop(crowd);
+        had_descriptors(program, mode);
+    }
+}
 
 /// Guards the limit of descriptors at the end: what waits in the backlog is taken and answered within it.
 #[test]
