--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -24,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 use woadstall::api::{Effect, RequestId, Settings};
 use woadstall::policy::longest_wait;
@@ -37,6 +38,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Pause among new connections after which no more are waited for then.
 const LAST_LOOK: Duration = Duration::from_millis(10);
+/// Connections that a listener's backlog holds at most.
+const MOST_BACKLOG: usize = 4096;
 /// How long a caller may take over a request, the first one from its connecting on; and how often that is
 /// looked at. Together they stay under the 3 s after which one that sends nothing whole is owed an end.
 const PATIENCE: Duration = Duration::from_millis(2500);
@@ -214,6 +217,7 @@
             () = serving => {}
             () = stopped => {}
         }
+        let mut rest = None;
         if shared {
             // The next process takes what waits in the backlog. The callers we have may be writing just now:
             // they are sent to it one by one, with their answers.
@@ -222,25 +226,36 @@
             timeout(server.go_on(), server.all_left()).await.ok();
         } else {
             // What waits in the backlog counts as taken, and closing the listener would reset it.
-            let rest = async {
-                loop {
-                    server.has_room().await;
-                    let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await else { return };
-                    server.take(tcp, &closing);
-                }
-            };
-            timeout(10 * LAST_LOOK, rest).await.ok();
-            drop(listener);
+            let taking = rest.insert(tokio::spawn(server.clone().take_rest(listener, closing)));
+            timeout(10 * LAST_LOOK, taking).await.ok();
         }
         server.leaving.store(true, Ordering::Relaxed);
         close.send_replace(true);
         timeout(10 * LAST_LOOK, server.all_left()).await.ok(); // what was just taken still has its time
         server.refusing.store(true, Ordering::Relaxed);
+        // Where the process was held up, the backlog is not empty yet: its callers are refused, not reset.
+        let answered = async {
+            if let Some(taking) = rest.as_mut().filter(|taking| !taking.is_finished()) {
+                taking.await.ok();
+            }
+            server.all_left().await;
+        };
         let longest = Duration::from_nanos(longest_deadline(&server.config.settings));
-        timeout(longest.max(PATIENCE + LOOK_EVERY) + LAST_ANSWERS, server.all_left()).await.ok();
+        timeout(longest.max(PATIENCE + LOOK_EVERY) + LAST_ANSWERS, answered).await.ok();
+        rest.inspect(JoinHandle::abort);
         looking.abort();
     }
 
+    /// Takes what waits in the backlog, and closes the listener. Who comes later is taken as well, as nobody can tell,
+    /// but no more than a backlog holds.
+    async fn take_rest(self: Arc<Self>, listener: TcpListener, closing: watch::Receiver<bool>) {
+        for _ in 0..MOST_BACKLOG {
+            self.has_room().await;
+            let Ok(Ok((tcp, _))) = timeout(LAST_LOOK, listener.accept()).await else { return };
+            self.take(tcp, &closing);
+        }
+    }
+
     async fn all_left(&self) {
         while self.count() > 0 {
             self.left.notified().await;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -718,22 +718,48 @@
     }
 }
 
-/// Guards the limit of descriptors at the end: what waits in the backlog is taken and answered within it.
-#[test]
-fn a_backlog_at_the_end_of_serving_is_answered_within_the_descriptors() {
-    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+/// Connections that a backlog surely holds: one more might not come up.
+const FULL_BACKLOG: usize = 120;
+
+/// A program that finds this many requests in its backlog, beyond the time for which callers are served.
+fn ends_with_backlog(upstream: &Upstream, size: usize) -> (Program, Vec<Caller>) {
     let mut config = short_lived(upstream.address);
     config["limits"]["sockets"] = SOCKETS.into();
     let program = Program::start_limited(&config);
     program.terminate();
     program.has_taken_signals();
     program.pause();
-    let mut waiting: Vec<Caller> = (0..SOCKETS).map(|_| program.connect()).collect();
+    let mut waiting: Vec<Caller> = (0..size).map(|_| program.connect()).collect();
     waiting.iter_mut().for_each(|caller| caller.send("look", "60", ""));
     std::thread::sleep(SECOND); // beyond what is still served
     program.go_on();
-    for caller in &mut waiting {
+    (program, waiting)
+}
+
+fn all_answered(waiting: &mut [Caller]) {
+    for caller in waiting {
         assert!([200, 503].contains(&caller.answer().expect("a final answer").status()));
     }
+}
+
+/// Guards the limit of descriptors at the end: what waits in the backlog is taken and answered within it.
+#[test]
+fn a_backlog_at_the_end_of_serving_is_answered_within_the_descriptors() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let (program, mut waiting) = ends_with_backlog(&upstream, SOCKETS);
+    all_answered(&mut waiting);
+    assert!(program.end().0.success());
+}
+
+/// Guards the same where the process is held up, on a busy machine, when it has taken the first of them.
+#[test]
+fn a_backlog_at_the_end_of_serving_is_answered_by_a_process_that_is_held_up() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let (program, mut waiting) = ends_with_backlog(&upstream, FULL_BACKLOG);
+    all_answered(&mut waiting[..1]);
+    program.pause();
+    std::thread::sleep(SECOND / 4); // more than the last look at the backlog takes
+    program.go_on();
+    all_answered(&mut waiting[1..]);
     assert!(program.end().0.success());
 }
