--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -430,15 +430,24 @@
 
     /// Connections that callers have with it.
     pub fn connections(&self) -> usize {
-        const ESTABLISHED_OR_LEFT: [&str; 2] = ["01", "08"];
+        self.sockets(&["01", "08"])
+    }
+
+    /// Waits until the kernel has the end of each caller, by FIN or by RST. A test that starts its program just now may
+    /// hold a copy of a socket that was closed.
+    pub fn all_callers_left(&self) {
+        eventually("the end of each caller", || self.sockets(&["01"]) == 0);
+    }
+
+    /// Its sockets for callers in these states: 01 is established, 08 left by the caller.
+    fn sockets(&self, states: &[&str]) -> usize {
         let SocketAddr::V4(address) = self.address else { unreachable!("bound to IPv4") };
         let address = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
         let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
         let own = sockets.lines().map(|socket| socket.split_whitespace().skip(1));
         own.filter(|fields| {
             let mut fields = fields.clone();
-            fields.next() == Some(&address)
-                && fields.nth(1).is_some_and(|state| ESTABLISHED_OR_LEFT.contains(&state))
+            fields.next() == Some(&address) && fields.nth(1).is_some_and(|state| states.contains(&state))
         })
         .count()
     }
@@ -563,8 +572,8 @@
 pub struct Crowd(Arc<AtomicBool>);
 
 impl Crowd {
-    /// They say nothing at all, or make one call each and rest.
-    pub fn gather(address: SocketAddr, size: usize, asks: bool) -> Self {
+    /// Each says this, and nothing more.
+    pub fn gather(address: SocketAddr, size: usize, says: fn() -> String) -> Self {
         const AT_ONCE: usize = 20; // more than are taken beyond the places
         let (dispersed, mut held) = (Arc::new(AtomicBool::new(false)), Vec::new());
         let is_over = dispersed.clone();
@@ -573,9 +582,7 @@
                 held.retain_mut(is_open);
                 for _ in held.len()..size.min(held.len() + AT_ONCE) {
                     let Ok(mut caller) = TcpStream::connect_timeout(&address, PATIENCE) else { break };
-                    if asks {
-                        caller.write_all(request("look", LONG, "").as_bytes()).ok();
-                    }
+                    caller.write_all(says().as_bytes()).ok();
                     caller.set_nonblocking(true).unwrap();
                     held.push(caller);
                 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -5,8 +5,8 @@
 
 use common::process::*;
 use std::io::Read;
-use std::sync::Mutex;
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A configuration in which lists are asked for, or pushed.
@@ -217,6 +217,7 @@
         let upstream = crowded.let_in(|_| Act::Answer(ok("")));
         eventually("the connection is up", || coming_up(upstream.address) == 0);
         caller.leave(way);
+        program.all_callers_left();
         std::thread::sleep(2 * GONE);
         program.go_on();
         assert_eq!(program.connect().call("post", LONG, "later").unwrap().status(), 200, "{way:?}");
@@ -285,6 +286,7 @@
             program.pause();
             line.write(&full());
             caller.leave(way);
+            program.all_callers_left();
             std::thread::sleep(2 * GONE);
             program.go_on();
             let mut later = program.connect();
@@ -719,25 +721,180 @@
 
 // ---- Idle callers that fill the descriptors ----
 
-/// Few descriptors.
+/// Few descriptors, and what a balancer with so few leaves of them to connections to upstreams and to callers.
 const SOCKETS: usize = 96;
+const TO_UPSTREAMS: usize = 32;
+const TO_CALLERS: usize = 32;
+/// Standard streams, the listener, the runtime's.
+const OWN: usize = 10;
+
+/// What each of a crowd says: nothing, one call, or a part of one.
+const SAYINGS: [fn() -> String; 3] =
+    [String::new, || request("look", LONG, ""), || request("look", LONG, "")[..20].into()];
+const PART_OF_A_CALL: usize = 2;
+
+fn crowded(mode: &str, discovery: std::net::SocketAddr, known: &[String]) -> serde_json::Value {
+    let mut config = config(discovery, known);
+    config["settings"]["Discovery"] = mode.into();
+    config["settings"]["Safety"]["AskWithinNs"] = 10_000_000_000_u64.into();
+    config["limits"]["sockets"] = SOCKETS.into();
+    config
+}
 
-/// Guards the limit of descriptors at the end: what waits in the backlog is taken and answered within it.
+/// Waits until a caller that comes among a crowd is served by the upstream that answers so.
+fn serves(program: &Program, body: &str) {
+    eventually(body, || {
+        program.connect().call("look", LONG, "").is_some_and(|answer| answer.body == body.as_bytes())
+    });
+}
+
+/// Ends a program that never lacked a descriptor.
+fn had_descriptors(program: Program, case: &str) {
+    program.terminate();
+    let (status, log) = program.end();
+    assert!(status.success() && !log.contains("os error 24"), "{case}: {log}");
+}
+
+/// Guards discovery and upstreams against idle callers, where calls hold all but two connections to upstreams: the
+/// return of discovery with its first list, the watch, SIGHUP and the connections to new upstreams find their
+/// descriptors, as if nobody were there.
 #[test]
-fn a_backlog_at_the_end_of_serving_is_answered_within_the_descriptors() {
-    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+fn idle_callers_leave_descriptors_to_discovery_and_to_upstreams() {
+    std::thread::scope(|scope| {
+        for mode in ["push", "ask"] {
+            (0..SAYINGS.len()).for_each(|saying| drop(scope.spawn(move || follows_in_a_crowd(mode, saying))));
+        }
+    });
+}
+
+fn follows_in_a_crowd(mode: &str, saying: usize) {
+    let case = format!("{mode}, {saying}");
+    let holding = Arc::new(Mutex::new(()));
+    let held = holding.lock().unwrap();
+    let until = holding.clone();
+    let old = Upstream::start(move |message| {
+        if message.first_line.starts_with("POST") {
+            drop(until.lock());
+        }
+        Act::Answer(ok("old"))
+    });
+    let [new, newer, last] =
+        ["new", "newer", "last"].map(|body| Upstream::start(move |_| Act::Answer(ok(body))));
+    let (down, second) = (Down::open(), Discovery::start());
+    let mut config = crowded(mode, down.address, &in_service(&[&old]));
+    let program = Program::start_limited(&config);
+    let mut calling: Vec<Caller> = (2..TO_UPSTREAMS).map(|_| program.connect()).collect();
+    for caller in &mut calling {
+        caller.send("post", LONG, "b");
+        old.request();
+    }
+    let crowd = Crowd::gather(program.address, 2 * TO_CALLERS, SAYINGS[saying]);
+    eventually("all places are taken", || program.descriptors() >= OWN + calling.len() + TO_CALLERS);
+    // One that says a part of a call keeps its place for some time, and others out: not discovery.
+    let is_served = |body| {
+        if saying != PART_OF_A_CALL {
+            serves(&program, body);
+        }
+    };
+    // The whole crowd comes at once, and this beside it.
+    let rush_with = |event: &dyn Fn()| {
+        program.pause();
+        eventually("the crowd is back", || program.connections() >= calling.len() + 2 * TO_CALLERS);
+        event();
+        program.go_on();
+        Instant::now()
+    };
+
+    let first = down.back(&[target("s-new", new.address, "in_service")]);
+    let told = Instant::now();
+    first.watched();
+    assert!(told.elapsed() < TOLD, "{case}: back, told after {:?}", told.elapsed());
+    is_served("new");
+
+    let told = rush_with(&|| first.set(&[target("s-newer", newer.address, "in_service")]));
+    first.watched();
+    assert!(told.elapsed() < TOLD, "{case}: watch, told after {:?}", told.elapsed());
+    is_served("newer");
+
+    second.set(&[target("s-last", last.address, "in_service")]);
+    config["discovery"] = second.address.to_string().into();
+    let told = rush_with(&|| program.reload(&config.to_string()));
+    second.watched();
+    assert!(told.elapsed() < TOLD_AFTER_HANGUP, "{case}: hangup, told after {:?}", told.elapsed());
+    is_served("last");
+
+    drop((held, crowd));
+    calling
+        .iter_mut()
+        .for_each(|caller| assert_eq!(caller.answer().expect("an answer").body, b"old", "{case}"));
+    drop(calling);
+    had_descriptors(program, &case);
+}
+
+/// Guards the first list of a process that knows no upstream against callers who are there before it.
+#[test]
+fn idle_callers_leave_a_descriptor_to_the_first_list() {
+    for mode in ["push", "ask"] {
+        let new = Upstream::start(|_| Act::Answer(ok("new")));
+        let down = Down::open();
+        let program = Program::start_limited(&crowded(mode, down.address, &[]));
+        let crowd = Crowd::gather(program.address, SOCKETS, SAYINGS[0]);
+        eventually("all places are taken", || program.descriptors() >= OWN + TO_CALLERS);
+        program.pause();
+        eventually("the crowd is back", || program.connections() >= SOCKETS);
+        let discovery = down.back(&in_service(&[&new]));
+        program.go_on();
+        let told = Instant::now();
+        discovery.watched();
+        assert!(told.elapsed() < TOLD, "{mode}: told after {:?}", told.elapsed());
+        serves(&program, "new");
+        drop(crowd);
+        had_descriptors(program, mode);
+    }
+}
+
+/// Connections that a backlog surely holds: one more might not come up.
+const FULL_BACKLOG: usize = 120;
+
+/// A program that finds this many requests in its backlog, beyond the time for which callers are served.
+fn ends_with_backlog(upstream: &Upstream, size: usize) -> (Program, Vec<Caller>) {
     let mut config = short_lived(upstream.address);
     config["limits"]["sockets"] = SOCKETS.into();
     let program = Program::start_limited(&config);
     program.terminate();
     program.has_taken_signals();
     program.pause();
-    let mut waiting: Vec<Caller> = (0..SOCKETS).map(|_| program.connect()).collect();
+    let mut waiting: Vec<Caller> = (0..size).map(|_| program.connect()).collect();
     waiting.iter_mut().for_each(|caller| caller.send("look", "60", ""));
     std::thread::sleep(SECOND); // beyond what is still served
     program.go_on();
-    for caller in &mut waiting {
+    (program, waiting)
+}
+
+fn all_answered(waiting: &mut [Caller]) {
+    for caller in waiting {
         assert!([200, 503].contains(&caller.answer().expect("a final answer").status()));
     }
+}
+
+/// Guards the limit of descriptors at the end: what waits in the backlog is taken and answered within it.
+#[test]
+fn a_backlog_at_the_end_of_serving_is_answered_within_the_descriptors() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let (program, mut waiting) = ends_with_backlog(&upstream, SOCKETS);
+    all_answered(&mut waiting);
+    assert!(program.end().0.success());
+}
+
+/// Guards the same where the process is held up, on a busy machine, when it has taken the first of them.
+#[test]
+fn a_backlog_at_the_end_of_serving_is_answered_by_a_process_that_is_held_up() {
+    let upstream = Upstream::start(|_| Act::Answer(ok("")));
+    let (program, mut waiting) = ends_with_backlog(&upstream, FULL_BACKLOG);
+    all_answered(&mut waiting[..1]);
+    program.pause();
+    std::thread::sleep(SECOND / 4); // more than the last look at the backlog takes
+    program.go_on();
+    all_answered(&mut waiting[1..]);
     assert!(program.end().0.success());
 }
