Emulator: one piece of code for what stood in several places

A seeded generator and the lock of both modes, tables of a report, the place of an upstream in its service, an attempt that is given up (three copies), first lists, and what a call costs discovery.

--- a/scale/src/discovery.rs
+++ b/scale/src/discovery.rs
@@ -266,26 +266,33 @@
         watcher.number += 1;
         self.messages += 1;
         let (number, now) = (watcher.number, queue.now());
+        let reachable = !self.down && !watcher.cut;
         // A connection that exists goes silent with its call, a new one does not come up. A call that does not go on
         // with a watch does not wait.
-        let patience = if watcher.continues { WATCH_WAIT + WATCH_SILENCE } else { CONNECT };
-        let reachable = !self.down && !watcher.cut;
+        let patience = match (watcher.continues, reachable) {
+            (true, _) => WATCH_WAIT + WATCH_SILENCE,
+            (false, true) => WATCH_SILENCE,
+            (false, false) => CONNECT,
+        };
         if reachable {
             queue.push(now + millis(self.config.network_ms), Event::Asked(instance, number).into());
         }
-        let patience = if reachable && !watcher.continues { WATCH_SILENCE } else { patience };
         queue.push(now + patience, Event::Silent(instance, number).into());
     }
 
     fn answer<E: Copy + From<Event>>(&mut self, instance: u32, number: u32, queue: &mut Queue<E>) {
         let continues = self.watchers[instance as usize].continues;
         let cost = if continues { self.config.watch_us } else { self.config.call_us };
-        self.busy_until =
-            self.busy_until.max(queue.now()) + (cost * 1e3 / self.config.machines.max(1.0)) as Time;
-        let at = self.busy_until + millis(self.config.network_ms);
+        let at = self.works(queue.now(), cost) + millis(self.config.network_ms);
         queue.push(at, Event::Told(instance, number).into());
     }
 
+    /// Works on a call that costs a machine so many microseconds, after those before it; tells when that is done.
+    fn works(&mut self, now: Time, cost_us: f64) -> Time {
+        self.busy_until = self.busy_until.max(now) + (cost_us * 1e3 / self.config.machines.max(1.0)) as Time;
+        self.busy_until
+    }
+
     /// Takes an event; tells the balancer that it concerns, and what that one hears.
     pub fn handle<E: Copy + From<Event>>(&mut self, event: Event, queue: &mut Queue<E>) -> (usize, Told) {
         let (Event::Told(instance, number)
@@ -414,9 +421,7 @@
         if !self.config.ask {
             return now + millis(self.config.push_min_ms);
         }
-        self.busy_until =
-            self.busy_until.max(now) + (self.config.call_us * 1e3 / self.config.machines.max(1.0)) as Time;
-        self.busy_until + 2 * millis(self.config.network_ms)
+        self.works(now, self.config.call_us) + 2 * millis(self.config.network_ms)
     }
 
     /// Changes that balancers which live and can be reached have not been told.
--- a/scale/src/experiment.rs
+++ b/scale/src/experiment.rs
@@ -2,6 +2,7 @@
 
 use crate::hollow;
 use crate::interrupt::{Interrupt, Interrupted};
+use crate::lock;
 use crate::real;
 use crate::report::{Circumstances, Promise, Run, Table, number};
 use crate::scenario::{Axis, Mode, Scenario, ScenarioError, Source};
@@ -151,7 +152,7 @@
                 return None;
             }
             let advance = |part: f64| {
-                let mut done = done.lock().unwrap_or_else(|broken| broken.into_inner());
+                let mut done = lock(&done);
                 done[at] = part;
                 progress(done.iter().sum::<f64>() / done.len() as f64);
             };
@@ -166,7 +167,7 @@
                 }
                 Err(error) => {
                     failed.store(true, Ordering::Relaxed);
-                    fault.lock().unwrap_or_else(|broken| broken.into_inner()).get_or_insert(error);
+                    lock(&fault).get_or_insert(error);
                     None
                 }
             }
@@ -223,8 +224,7 @@
         self.points().write(&mut text);
         self.fits().write(&mut text);
         let broken = self.broken().map(|line| vec![line]);
-        let (title, columns) = ("Broken promises".into(), vec!["broken".into()]);
-        Table { title, columns, rows: broken.collect() }.write(&mut text);
+        Table::new("Broken promises", ["broken"], broken.collect()).write(&mut text);
         self.circumstances.write(&mut text);
         text
     }
@@ -312,11 +312,7 @@
             "spread",
             "residual at the largest",
         ];
-        Table {
-            title: "Straight lines".into(),
-            columns: columns.map(String::from).to_vec(),
-            rows: self.figure_names().into_iter().filter_map(row).collect(),
-        }
+        Table::new("Straight lines", columns, self.figure_names().into_iter().filter_map(row).collect())
     }
 }
 
--- a/scale/src/faults.rs
+++ b/scale/src/faults.rs
@@ -109,7 +109,7 @@
         span(self.regions.from_s, self.regions.for_s, &Step::RegionsCut);
         span(self.discovery.from_s, self.discovery.for_s, &Step::DiscoveryDown);
         if self.restart.for_s > 0.0 {
-            let count = self.restarted(upstreams);
+            let count = (self.restart.share * upstreams as f64).round() as usize;
             for at in 0..count {
                 let after = self.restart.from_s + self.restart.for_s * at as f64 / count as f64;
                 plan.push((start + seconds(after), Step::Restart(at as u32)));
@@ -117,9 +117,4 @@
         }
         plan
     }
-
-    /// How many upstreams the rolling restart replaces.
-    pub fn restarted(&self, upstreams: usize) -> usize {
-        (self.restart.share * upstreams as f64).round() as usize
-    }
 }
--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -16,8 +16,8 @@
 use crate::topology::{Instance, Owner, Topology};
 use hdrhistogram::Histogram;
 use outcome::{Counts, RequestCount, TierCount};
+use rand::Rng;
 use rand::seq::SliceRandom;
-use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, LogNormal};
 use std::collections::{HashMap, VecDeque};
@@ -121,7 +121,7 @@
 }
 
 /// An attempt.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Attempt {
     call: Key,
     number: u32,
@@ -235,11 +235,7 @@
 
 impl<'a> Fleet<'a> {
     fn new(config: &'a Config, seed: u64) -> Self {
-        let stream = |number| {
-            let mut rng = ChaCha8Rng::seed_from_u64(seed);
-            rng.set_stream(number);
-            rng
-        };
+        let stream = |purpose| crate::random(seed, purpose);
         let topology = Topology::new(config, &mut stream(1));
         let mut rng = stream(2);
         let servers: Vec<Server> = topology
@@ -513,10 +509,9 @@
         let (number, until) = (call.attempts, until.min(call.deadline));
         call.attempts += 1;
         let upstream = server.0 as usize;
-        let service = &self.topology.services[self.topology.instances[instance].service];
         let (zone, other) = (self.topology.instances[instance].zone, self.topology.upstreams[upstream].zone);
         let way = way(self.config, zone, other);
-        let idle = &mut node.idle[upstream - service.upstreams.start];
+        let idle = &mut node.idle[self.topology.place(upstream)];
         let connects = idle.count == 0 || now.saturating_sub(idle.used) >= seconds(self.config.conn_idle_s);
         let handshake = if connects { 2 * way } else { 0 };
         let begins = now + own_time(self.config) + handshake;
@@ -547,7 +542,7 @@
             callee: 0,
             measured: call.measured,
         };
-        let tier = service.tier as usize;
+        let tier = self.topology.service_of(upstream).tier as usize;
         let out = self.attempts.insert(attempt);
         call.out = Some(out);
         self.counts.tiers[tier].calls += u64::from(call.measured);
@@ -577,31 +572,32 @@
     }
 
     fn on_expired(&mut self, key: Key) {
-        let Some(attempt) = self.attempts.get_mut(key).filter(|attempt| attempt.waited) else { return };
-        attempt.waited = false;
+        let Some(attempt) = self.attempts.get(key).filter(|attempt| attempt.waited) else { return };
         let lost = attempt.place == Place::Lost;
         let outcome = if lost && attempt.connects { Outcome::ConnectFailed } else { Outcome::Timeout };
-        self.give_up(key, outcome);
+        let ended = *attempt;
+        self.give_up(key, false);
+        self.ended(&ended, outcome);
     }
 
-    /// A balancer stops waiting for an attempt: it closes the connection, which the upstream sees.
-    fn give_up(&mut self, key: Key, outcome: Outcome) {
-        let Some(attempt) = self.attempts.get(key) else { return };
-        let way = self.way_of(attempt);
+    /// A balancer stops waiting for an attempt: it closes the connection, which the upstream sees unless its own
+    /// machine or the balancer's has fallen silent.
+    fn give_up(&mut self, key: Key, silent: bool) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.waited = false;
         let lost = attempt.place == Place::Lost;
-        let ended = Attempt { waited: false, ..*attempt };
-        if lost {
-            self.attempts.remove(key);
-        } else if let Some(way) = way {
-            self.queue.push(self.queue.now() + way, Event::Withdrawn(key));
+        let way = self.attempts.get(key).and_then(|attempt| self.way_of(attempt));
+        match way.filter(|_| !silent) {
+            _ if lost => drop(self.attempts.remove(key)),
+            Some(way) => self.queue.push(self.queue.now() + way, Event::Withdrawn(key)),
+            None => {}
         }
-        self.ended(&ended, outcome);
     }
 
     /// The balancer of an attempt hears how it ended.
     fn ended(&mut self, attempt: &Attempt, outcome: Outcome) {
         let now = self.queue.now();
-        let tier = self.topology.services[self.topology.upstreams[attempt.upstream].service].tier as usize;
+        let tier = self.topology.service_of(attempt.upstream).tier as usize;
         if attempt.measured {
             let count = &mut self.counts.tiers[tier];
             *match outcome {
@@ -619,8 +615,7 @@
         call.out = None;
         let (instance, id, owed) = (call.instance, call.id, call.owed);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
-            let service = &self.topology.services[self.topology.instances[instance].service];
-            let idle = &mut self.nodes[instance].idle[attempt.upstream - service.upstreams.start];
+            let idle = &mut self.nodes[instance].idle[self.topology.place(attempt.upstream)];
             let process = self.servers[attempt.upstream].process;
             let count = if idle.process == process { idle.count + 1 } else { 1 };
             *idle = Idle { count, used: now, process };
@@ -677,7 +672,7 @@
             self.notice(upstream, Lifecycle::Gone, false, Holds::Process(process + 1));
             return self.finish(key, Outcome::ConnectFailed);
         }
-        let slots = self.topology.services[self.topology.upstreams[upstream].service].slots;
+        let slots = self.topology.service_of(upstream).slots;
         let server = &mut self.servers[upstream];
         if server.busy < slots {
             self.begin(key);
@@ -707,7 +702,7 @@
             return false;
         }
         self.counts.cold_calls += 1;
-        let service = &self.topology.services[self.topology.upstreams[upstream].service];
+        let service = self.topology.service_of(upstream);
         let capacity = f64::from(service.slots) / service.work * 1e9 * warmth;
         let step = self.queue.now() / seconds(self.config.fall_s / FALL_STEPS as f64).max(1);
         let server = &mut self.servers[upstream];
@@ -728,7 +723,7 @@
         attempt.place = Place::Working;
         let upstream = attempt.upstream;
         self.servers[upstream].busy += 1;
-        let mean = self.topology.services[self.topology.upstreams[upstream].service].work;
+        let mean = self.topology.service_of(upstream).work;
         let took = mean * self.work.sample(&mut self.rng) / self.warmth(upstream);
         self.queue.push(self.queue.now() + took as Time, Event::Worked(key));
     }
@@ -744,7 +739,7 @@
             self.attempts.remove(key);
             return;
         }
-        let tier = self.topology.services[self.topology.upstreams[upstream].service].tier as usize;
+        let tier = self.topology.service_of(upstream).tier as usize;
         let fault = &self.config.tier_fault;
         let failing = self.tier_fails && (fault.all_tiers || tier == self.config.watched_tier());
         if failing && self.rng.random_bool(fault.share) {
@@ -855,8 +850,7 @@
     }
 
     fn list(&mut self, upstream: usize, lifecycle: Lifecycle, happened: Time) {
-        let service = self.topology.upstreams[upstream].service;
-        let entry = upstream - self.topology.services[service].upstreams.start;
+        let (service, entry) = (self.topology.upstreams[upstream].service, self.topology.place(upstream));
         let started = self.servers[upstream].started;
         let change = |entry: &mut ListEntry| (entry.lifecycle, entry.started) = (lifecycle, started);
         self.discovery.change(service, entry, change, happened, &mut self.queue);
@@ -876,8 +870,7 @@
     fn on_change(&mut self) {
         self.next_change();
         let upstream = self.rng.random_range(0..self.servers.len());
-        let service = self.topology.upstreams[upstream].service;
-        let entry = upstream - self.topology.services[service].upstreams.start;
+        let (service, entry) = (self.topology.upstreams[upstream].service, self.topology.place(upstream));
         let change = |entry: &mut ListEntry| entry.size = if entry.size < 1.0 { 1.0 } else { 0.9 };
         self.discovery.change(service, entry, change, self.queue.now(), &mut self.queue);
         self.counts.changes += 1;
@@ -926,7 +919,7 @@
                 let at = now + seconds(self.config.front_notice_s);
                 self.queue.push(at, Event::FrontLeft(front as u32));
             } else {
-                let ready = instances.map(|at| self.discovery.first_list(at, now)).max().unwrap_or(now);
+                let ready = self.first_lists(instances);
                 self.queue.push(ready, Event::FrontReady(front as u32));
             }
         }
@@ -942,9 +935,8 @@
         }
         for upstream in 0..self.servers.len() {
             if Topology::regions_differ(self.config, 0, self.topology.upstreams[upstream].zone) {
-                let service = self.topology.upstreams[upstream].service;
-                let entry = upstream - self.topology.services[service].upstreams.start;
-                let gone = self.discovery.list(service)[entry].lifecycle == Lifecycle::Gone;
+                let list = self.discovery.list(self.topology.upstreams[upstream].service);
+                let gone = list[self.topology.place(upstream)].lifecycle == Lifecycle::Gone;
                 if cut {
                     self.notice(upstream, Lifecycle::Gone, true, Holds::Cut(self.cuts));
                 } else if gone && self.servers[upstream].life == Life::Up {
@@ -958,10 +950,13 @@
     /// The process of an upstream ends, and with it its balancer. Connections to it are reset, unless its machine
     /// is gone: then they are found out when they are used.
     fn stop(&mut self, upstream: usize, life: Life) {
-        let service = &self.topology.services[self.topology.upstreams[upstream].service];
         if life == Life::Down {
-            let place = upstream - service.upstreams.start;
-            service.callers.iter().for_each(|&caller| self.nodes[caller].idle[place].count = 0);
+            let place = self.topology.place(upstream);
+            self.topology
+                .service_of(upstream)
+                .callers
+                .iter()
+                .for_each(|&caller| self.nodes[caller].idle[place].count = 0);
         }
         let server = &mut self.servers[upstream];
         server.life = life;
@@ -997,17 +992,8 @@
                 self.open_measured -= u64::from(measured);
                 self.count_request(came, measured, |count| &mut count.lost);
             }
-            if let Some(out) = out
-                && let Some(attempt) = self.attempts.get_mut(out)
-            {
-                attempt.waited = false;
-                let lost = attempt.place == Place::Lost;
-                let way = self.attempts.get(out).and_then(|attempt| self.way_of(attempt));
-                match way.filter(|_| !silent) {
-                    _ if lost => drop(self.attempts.remove(out)),
-                    Some(way) => self.queue.push(self.queue.now() + way, Event::Withdrawn(out)),
-                    None => {}
-                }
+            if let Some(out) = out {
+                self.give_up(out, silent);
             }
             self.calls.remove(key);
         }
@@ -1025,11 +1011,17 @@
         let now = self.queue.now();
         self.servers[upstream].started = Some(now);
         let instances = self.topology.upstreams[upstream].instances.clone();
-        let ready = instances.map(|at| self.discovery.first_list(at, now)).max().unwrap_or(now);
+        let ready = self.first_lists(instances);
         self.counts.longest_start = self.counts.longest_start.max(ready - now);
         self.queue.push(ready, Event::Ready(upstream as u32));
     }
 
+    /// When module instances that start now have their lists.
+    fn first_lists(&mut self, instances: Range<usize>) -> Time {
+        let now = self.queue.now();
+        instances.map(|at| self.discovery.first_list(at, now)).max().unwrap_or(now)
+    }
+
     fn on_ready(&mut self, upstream: usize) {
         let server = &mut self.servers[upstream];
         if server.life == Life::Up {
@@ -1094,8 +1086,7 @@
             Action::Fail(id) => self.answer_id(instance, id, Answer::Failed),
             Action::Cancel { id, attempt } => self.withdraw(instance, id, attempt),
             Action::Close(server) => {
-                let service = &self.topology.services[self.topology.instances[instance].service];
-                self.nodes[instance].idle[server.0 as usize - service.upstreams.start].count = 0;
+                self.nodes[instance].idle[self.topology.place(server.0 as usize)].count = 0;
             }
             Action::SetTimer { after, token } => {
                 self.queue.push(self.queue.now().saturating_add(after), Event::Timer(instance as u32, token));
@@ -1115,18 +1106,10 @@
     fn withdraw(&mut self, instance: usize, id: RequestId, number: u32) {
         let Some(&key) = self.nodes[instance].calls.get(&id) else { return };
         let Some(out) = self.calls.get(key).and_then(|call| call.out) else { return };
-        let Some(attempt) = self.attempts.get_mut(out).filter(|attempt| attempt.number == number) else {
-            return;
-        };
-        attempt.waited = false;
-        let (sent, lost) = (attempt.sent, attempt.place == Place::Lost);
+        let Some(attempt) = self.attempts.get(out).filter(|attempt| attempt.number == number) else { return };
+        let sent = attempt.sent;
         self.counts.withdrawals += 1;
-        let way = self.attempts.get(out).and_then(|attempt| self.way_of(attempt));
-        match way {
-            _ if lost => drop(self.attempts.remove(out)),
-            Some(way) => self.queue.push(self.queue.now() + way, Event::Withdrawn(out)),
-            None => {}
-        }
+        self.give_up(out, false);
         let Some(call) = self.calls.get_mut(key) else { return };
         call.out = None;
         let (elapsed, closed) = (self.queue.now() - sent, !call.owed);
--- a/scale/src/hollow/outcome.rs
+++ b/scale/src/hollow/outcome.rs
@@ -171,11 +171,7 @@
             row.extend(ends.map(|count| count.to_string()));
             row
         };
-        Table {
-            title: "Calls by tier".to_owned(),
-            columns: columns.map(str::to_owned).to_vec(),
-            rows: self.counts.tiers.iter().enumerate().map(row).collect(),
-        }
+        Table::new("Calls by tier", columns, self.counts.tiers.iter().enumerate().map(row).collect())
     }
 
     /// What came of the requests over time, in as many seconds for a row as keep the table short.
@@ -196,10 +192,7 @@
             figures.map(|figure| figure.to_string()).to_vec()
         };
         let rows = seconds.chunks(width).enumerate().map(row);
-        Table {
-            title: "Requests by the second of the run in which they came".to_owned(),
-            columns: columns.map(str::to_owned).to_vec(),
-            rows: rows.filter(|row| row[1] != "0").collect(),
-        }
+        let rows = rows.filter(|row| row[1] != "0").collect();
+        Table::new("Requests by the second of the run in which they came", columns, rows)
     }
 }
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -14,3 +14,19 @@
 pub mod report;
 pub mod scenario;
 pub mod topology;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// A generator for one of a run's purposes, so that more draws for one do not change another.
+fn random(seed: u64, purpose: u64) -> ChaCha8Rng {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(purpose);
+    random
+}
+
+/// What a mutex holds, also where another thread panicked with it.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -13,19 +13,19 @@
 use crate::experiment::Progress;
 use crate::interrupt::Interrupt;
 use crate::report::Outcome;
+use crate::{lock, random};
 use anyhow::{Context, Result, bail};
 use balancer::{Balancer, Program};
 use client::{Clients, Front};
 use discovery::Discovery;
 use measure::{Measured, Watch};
+use rand::Rng;
 use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use rand_distr::Exp;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -127,17 +127,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// A generator for one of a run's purposes, so that more draws for one do not change another.
-fn random(seed: u64, purpose: u64) -> ChaCha8Rng {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(purpose);
-    random
-}
-
 async fn emulate(
     config: &Config,
     seed: u64,
--- a/scale/src/real/client.rs
+++ b/scale/src/real/client.rs
@@ -5,7 +5,7 @@
 use super::config::Config;
 use super::pool::Pool;
 use super::upstream::DIRECT;
-use super::{lock, random};
+use crate::{lock, random};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http_body_util::Full;
--- a/scale/src/real/discovery.rs
+++ b/scale/src/real/discovery.rs
@@ -1,7 +1,8 @@
 //! A stand-in for discovery and the agents on the balancers' machines: one address for each balancer, one list.
 
-use super::{listen, lock};
-use crate::real::balancer::zone_name;
+use super::balancer::zone_name;
+use super::listen;
+use crate::lock;
 use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::Full;
--- a/scale/src/real/measure.rs
+++ b/scale/src/real/measure.rs
@@ -1,10 +1,11 @@
 //! What is measured of a run with real processes, and the figures that come of it.
 
+use super::Fleet;
 use super::client::{Tallies, Tally};
 use super::config::{Config, MOST_MEMORY};
 use super::discovery::{Cost, Discovery};
 use super::upstream::Upstreams;
-use super::{Fleet, lock};
+use crate::lock;
 use crate::report::{Outcome, Table, number, peak_memory};
 use anyhow::{Result, bail};
 use std::collections::BTreeMap;
@@ -278,11 +279,7 @@
             "control bytes/s under load",
             "control calls/s under load",
         ];
-        Table {
-            title: "Balancers".into(),
-            columns: columns.map(String::from).to_vec(),
-            rows: (0..self.load.bytes.len()).map(row).collect(),
-        }
+        Table::new("Balancers", columns, (0..self.load.bytes.len()).map(row).collect())
     }
 }
 
@@ -296,9 +293,6 @@
         cells.into_iter().chain(quantiles).chain([most]).collect()
     };
     let columns = ["path", "calls", "served", "p50, us", "p99, us", "p99.9, us", "max, us"];
-    Table {
-        title: "Latency from when a call was due".into(),
-        columns: columns.map(String::from).to_vec(),
-        rows: [("balanced", &tallies.balanced), ("direct", &tallies.direct)].map(row).to_vec(),
-    }
+    let rows = [("balanced", &tallies.balanced), ("direct", &tallies.direct)].map(row).to_vec();
+    Table::new("Latency from when a call was due", columns, rows)
 }
--- a/scale/src/real/pool.rs
+++ b/scale/src/real/pool.rs
@@ -1,6 +1,6 @@
 //! Connections that clients keep: one call at a time on each.
 
-use super::lock;
+use crate::lock;
 use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
--- a/scale/src/real/upstream.rs
+++ b/scale/src/real/upstream.rs
@@ -2,7 +2,8 @@
 
 use super::config::Config;
 use super::discovery::Listed;
-use super::{listen, lock, random};
+use super::listen;
+use crate::{lock, random};
 use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -149,12 +149,7 @@
             let _ = writeln!(text, "`{key}` is {value}.");
         }
         let figures = self.outcome.figures.iter().map(|(name, figure)| vec![name.clone(), number(*figure)]);
-        let figures = Table {
-            title: "Figures".into(),
-            columns: vec!["figure".into(), "measured".into()],
-            rows: figures.collect(),
-        };
-        figures.write(&mut text);
+        Table::new("Figures", ["figure", "measured"], figures.collect()).write(&mut text);
         for table in &self.outcome.tables {
             table.write(&mut text);
         }
@@ -182,11 +177,7 @@
         let kept = if promise.kept { "kept" } else { "**broken**" };
         vec![promise.figure.clone(), promise.expected(), measured, kept.into()]
     };
-    Table {
-        title: "Promises".into(),
-        columns: ["figure", "expected", "measured", ""].map(String::from).to_vec(),
-        rows: promises.iter().map(row).collect(),
-    }
+    Table::new("Promises", ["figure", "expected", "measured", ""], promises.iter().map(row).collect())
 }
 
 impl Circumstances {
@@ -204,6 +195,10 @@
 }
 
 impl Table {
+    pub fn new<const N: usize>(title: impl Into<String>, columns: [&str; N], rows: Vec<Vec<String>>) -> Self {
+        Self { title: title.into(), columns: columns.map(String::from).to_vec(), rows }
+    }
+
     /// Adds it as a section of Markdown; one without rows adds nothing.
     pub fn write(&self, text: &mut String) {
         if self.rows.is_empty() {
--- a/scale/src/topology.rs
+++ b/scale/src/topology.rs
@@ -261,6 +261,16 @@
         self.instances.push(instance);
     }
 
+    /// The service of an upstream.
+    pub fn service_of(&self, upstream: usize) -> &Service {
+        &self.services[self.upstreams[upstream].service]
+    }
+
+    /// The place of an upstream among those of its service.
+    pub fn place(&self, upstream: usize) -> usize {
+        upstream - self.service_of(upstream).upstreams.start
+    }
+
     /// Whether two zones lie in different regions.
     pub fn regions_differ(config: &Config, zone: usize, other: usize) -> bool {
         let per_region = config.zones / config.regions;
