Poll sockets, refuse what nobody has heard of, and begin to ask for lists in one place each

Gate's poll_io was Socket's again, for writes alone: one free function serves both now. The refusal of a request that is counted and told when to come back stood in three places, and the first wait for a list in two conditions. Nothing else changes.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -121,11 +121,14 @@
         let mut watch = Watch { address, silence, open: None };
         let (mut rev, mut whole, mut failures) = (known.unwrap_or(0), known.is_none(), 0_u32);
         let mut missed = true;
-        if whole && self.asked && !self.wanted_after(Input::ListMoved, subscribed).await {
-            return;
-        }
-        if !whole && self.asked && subscribed.recv().await.is_none() {
-            return;
+        if self.asked {
+            let is_wanted = match whole {
+                true => self.wanted_after(Input::ListMoved, subscribed).await,
+                false => subscribed.recv().await.is_some(),
+            };
+            if !is_wanted {
+                return;
+            }
         }
         loop {
             let wait = if missed || whole { Duration::ZERO } else { WAIT };
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -395,25 +395,24 @@
     }
 }
 
-impl Gate {
-    fn poll_io(
-        &self,
-        cx: &mut Context<'_>,
-        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.tcp.poll_write_ready(cx))?;
-            match write(&self.0.tcp) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
+/// Reads from or writes to a socket that others look at too, once it is ready for that.
+pub fn poll_io(
+    tcp: &TcpStream,
+    mut poll_ready: impl FnMut(&TcpStream) -> Poll<io::Result<()>>,
+    mut act: impl FnMut(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(poll_ready(tcp))?;
+        match act(tcp) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            done => return Poll::Ready(done),
         }
     }
 }
 
 impl AsyncWrite for Gate {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.note(self.poll_io(cx, |tcp| tcp.try_write(bytes)))
+        self.note(poll_io(&self.0.tcp, |tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write(bytes)))
     }
 
     fn poll_write_vectored(
@@ -421,7 +420,7 @@
         cx: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.note(self.poll_io(cx, |tcp| tcp.try_write_vectored(parts)))
+        self.note(poll_io(&self.0.tcp, |tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write_vectored(parts)))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -348,9 +348,15 @@
     }
 
     fn refuse_surplus(&self, request: &Request<Incoming>) -> Response<Reply> {
-        if let Some(class) = self.class(request) {
-            self.counters.count(class, End::Busy);
+        match self.class(request) {
+            Some(class) => self.refuse(class),
+            None => refusal(COME_BACK),
         }
+    }
+
+    /// Refuses a request of a class that nobody has heard of yet.
+    fn refuse(&self, class: usize) -> Response<Reply> {
+        self.counters.count(class, End::Busy);
         refusal(COME_BACK)
     }
 
@@ -393,8 +399,7 @@
         }
         let size = size.exact().and_then(|size| usize::try_from(size).ok());
         let Some(room) = self.budget.take(size.map_or(MOST_KEPT, |size| size.min(MOST_KEPT))) else {
-            self.counters.count(asked.class, End::Busy);
-            return Ok(refusal(COME_BACK));
+            return Ok(self.refuse(asked.class));
         };
         let Some(named) = Named::take(&self.open, asked.call_id) else {
             self.counters.count(asked.class, End::Failure);
@@ -407,8 +412,7 @@
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
         if self.refusing.load(Ordering::Relaxed) {
-            self.counters.count(asked.class, End::Busy);
-            return Ok(refusal(COME_BACK));
+            return Ok(self.refuse(asked.class));
         }
         end_to_end(&mut head.headers);
         let mut held = Held { seen: None, _taken: None, _named: named, _room: room };
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to upstreams, and attempts on them: one attempt at a time on each.
 
 use super::body::{Budget, Gathered, MOST_BODY, MOST_KEPT, Outgoing, Payload, Room, gather};
-use super::gate::{Presence, lock};
+use super::gate::{Presence, lock, poll_io};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -274,22 +274,6 @@
     progress: Arc<Progress>,
 }
 
-impl Socket {
-    fn poll_io(
-        &self,
-        mut poll_ready: impl FnMut(&TcpStream) -> Poll<io::Result<()>>,
-        mut act: impl FnMut(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(poll_ready(&self.tcp))?;
-            match act(&self.tcp) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
-}
-
 impl AsyncRead for Socket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -297,7 +281,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let room = buffer.initialize_unfilled();
-        let got = ready!(self.poll_io(|tcp| tcp.poll_read_ready(cx), |tcp| tcp.try_read(room)))?;
+        let got = ready!(poll_io(&self.tcp, |tcp| tcp.poll_read_ready(cx), |tcp| tcp.try_read(room)))?;
         buffer.advance(got);
         Poll::Ready(Ok(()))
     }
@@ -313,7 +297,8 @@
         cx: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = ready!(self.poll_io(|tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write_vectored(parts)))?;
+        let done =
+            ready!(poll_io(&self.tcp, |tcp| tcp.poll_write_ready(cx), |tcp| tcp.try_write_vectored(parts)))?;
         // All that hyper had is written, and it had all.
         let offered: usize = parts.iter().map(|part| part.len()).sum();
         if done == offered && self.progress.body_taken.load(Ordering::Relaxed) {
