Exit with 2 where a review case cannot write its record

Cause: a folder that cannot be written ended the program by a panic, with a status that the issue does not define.

Change: the program says so and exits with 2.

Result: exit status 2 for a folder that does not exist.

--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -54,8 +54,11 @@
 
 /// Runs a case on a thread of its own, ends all processes that it started, and exits with its status.
 pub fn run_case(case: fn() -> Verdict) -> ! {
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder of the case is the argument"));
-    let file = File::create(folder.join("record.txt")).expect("record.txt cannot be written");
+    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_default());
+    let Ok(file) = File::create(folder.join("record.txt")) else {
+        writeln!(io::stdout(), "record.txt cannot be written in the folder {folder:?}").ok();
+        std::process::exit(2)
+    };
     RECORD.set(Record { start: Instant::now(), file: Mutex::new(file) }).ok();
     record(&format!("trouble {}", if has_trouble() { "on" } else { "off" }));
     let runner = thread::spawn(case);
