--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,177 +1,170 @@
-//! Upstreams write some long answers in pieces of 64 KiB, one a second. The first bytes come in time, and the rest must
-//! be passed on for as long as the upstream gives it.
+//! A crowd connects, stops in the middle of a request and stays. Beside it, clients send proper requests, each on a new
+//! connection.
 
 #[path = "../stand_ins/common.rs"]
 mod common;
 
 use common::*;
-use std::io::{Read, Write};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-const UPSTREAMS: usize = 4;
-const PIECE: usize = 64 << 10;
-const PIECES: usize = 8;
-const PAUSE: Duration = Duration::from_secs(1);
-/// Long answers that are asked for, one after another, beside short ones.
-const LONG_REQUESTS: usize = 8;
-/// The class `check` asks for long answers by this in its target.
-const LONG_TARGET: &str = "/check/long";
-const SHORT_CLIENTS: usize = 3;
+/// The limits of the balancer: the lowest number of descriptors that the pages state for a day, and a usual memory.
+const SOCKETS: usize = 256;
+const MEMORY_MB: u64 = 64;
+/// Number of clients of the crowd, over how many seconds they connect, and when the first does.
+const CROWD: usize = 700;
+const CROWD_ARRIVES_OVER: f64 = 1.5;
+const CROWD_AT: f64 = 3.0;
+/// Proper requests per second, and when the last is sent.
+const RATE: f64 = 20.0;
+const LAST_REQUEST_AT: f64 = 12.0;
+/// When the case ends.
+const END: f64 = 32.0;
+/// A final answer counts up to half a second after the time of its request, and 50 ms on sockets. The last part is for
+/// delays of the stand-ins.
+const LATEST_ANSWER: f64 = 0.5 + 0.05 + 0.1;
 
+/// How proper requests ended.
 #[derive(Default)]
-struct Counts {
-    short_served: AtomicU64,
-    whole: AtomicU64,
-    cut: AtomicU64,
-    other: AtomicU64,
+struct Ends {
+    answered: HashMap<u16, usize>,
+    closed_unanswered: usize,
+    not_taken: usize,
+    lost: usize,
+    /// The latest answer, in seconds after the last byte of its request.
+    latest: f64,
 }
 
-/// The body of a long answer: the pattern depends on the position, so that a gap is noticed.
-fn long_body() -> Vec<u8> {
-    (0..PIECE * PIECES).map(|index| (index / 7 % 251) as u8).collect()
-}
-
-fn case() -> Verdict {
-    let counts = Arc::new(Counts::default());
-    // The ids whose long answer an upstream is still writing, or was prevented from writing.
-    let prevented = Arc::new(Mutex::new(Vec::<String>::new()));
-    let mut entries = Vec::new();
-    for number in 0..UPSTREAMS {
-        let (random, prevented) = (Mutex::new(Random(number as u64 + 17)), prevented.clone());
-        let address = upstream(move |request, output| {
-            let id = request.header("x-call-id").to_owned();
-            record(&format!("upstream {number} runs {id} {}", request.target()));
-            let work = random.lock().unwrap().between(0.02, 0.06);
-            sleep(Duration::from_secs_f64(work));
-            if !request.target().starts_with(LONG_TARGET) {
-                output.write_all(&answer(b"short"))?;
-                return Ok(true);
-            }
-            let body = long_body();
-            output
-                .write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes())?;
-            for (index, piece) in body.chunks(PIECE).enumerate() {
-                if index > 0 && has_trouble() {
-                    sleep(PAUSE);
-                }
-                let written = output.write_all(piece);
-                record(&format!("upstream {number} writes piece {index} of the answer to {id}: {written:?}"));
-                if written.is_err() {
-                    prevented.lock().unwrap().push(id);
-                    return Ok(false);
-                }
-            }
-            Ok(true)
+/// A client of the crowd: the head of a request and a part of its body, and then nothing.
+fn crowd(address: SocketAddr) {
+    let (mut waiting, mut stay, mut next) = (Vec::<(Instant, TcpStream)>::new(), Vec::new(), 0);
+    let (mut ended, mut ended_late, mut latest) = (0, 0, 0.0_f64);
+    while now() < END - 1.0 {
+        while next < CROWD && now() >= CROWD_AT + CROWD_ARRIVES_OVER * next as f64 / CROWD as f64 {
+            next += 1;
+            let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+                continue;
+            };
+            let head = request_head(1, &fresh_id(), 3.0, 400);
+            stream.write_all(head.as_bytes()).ok();
+            stream.write_all(&[b'x'; 150]).ok();
+            stream.set_nonblocking(true).ok();
+            waiting.push((Instant::now(), stream));
+        }
+        let ends = waiting.extract_if(.., |(_, stream)| {
+            !matches!(stream.read(&mut [0; 512]), Err(error) if error.kind() == ErrorKind::WouldBlock)
         });
-        entries.push(entry(&format!("s-{number}"), address, "in_service"));
-    }
-    let agent = Agent::start(&entries);
-    let Some(balancer) = Balancer::start(agent.address, &entries) else { return Verdict::CouldNotRun };
-    let address = balancer.address;
-    let short_clients: Vec<_> = (0..SHORT_CLIENTS)
-        .map(|number| {
-            let counts = counts.clone();
-            thread::spawn(move || run_short_client(address, Random(number as u64 + 3), &counts))
-        })
-        .collect();
-    sleep(Duration::from_secs(3));
-    let mut random = Random(29);
-    let mut long_clients = Vec::new();
-    for _ in 0..LONG_REQUESTS {
-        // A try is given up after 70 to 100% of the deadline of its class.
-        let (counts, budget) = (counts.clone(), CLASSES[0].3 * random.between(0.7, 1.0));
-        long_clients.push(thread::spawn(move || run_long_client(address, budget, &counts)));
-        sleep(Duration::from_secs(4));
-    }
-    for client in long_clients {
-        client.join().ok();
-    }
-    STOP.store(true, Ordering::Relaxed);
-    for client in short_clients {
-        client.join().ok();
+        for (since, stream) in ends {
+            let waited = since.elapsed().as_secs_f64();
+            (ended, latest) = (ended + 1, latest.max(waited));
+            ended_late += usize::from(waited > 3.0);
+            stay.push(stream);
+        }
+        sleep(Duration::from_millis(2));
     }
-    sleep(PAUSE * 2); // an upstream notices at its next piece that its connection was closed
-    let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     report(&format!(
-        "long answers: {} whole, {} cut off, {} other; upstreams prevented from going on: {}; {} short answers",
-        get(&counts.whole),
-        get(&counts.cut),
-        get(&counts.other),
-        prevented.lock().unwrap().len(),
-        get(&counts.short_served)
+        "crowd: {next} connected, {ended} got an error or a close, {ended_late} of them after more than 3 s, the \
+         latest after {latest:.1} s; {} got nothing",
+        waiting.len()
     ));
-    match () {
-        () if get(&counts.cut) > 0 && !prevented.lock().unwrap().is_empty() => Verdict::Broken,
-        () if get(&counts.whole) == 0 || get(&counts.short_served) < 50 => Verdict::CouldNotRun,
-        () => Verdict::Held,
-    }
 }
 
-/// Asks for a long answer, and reads it as it comes.
-fn run_long_client(address: SocketAddr, budget: f64, counts: &Counts) {
-    let id = fresh_id();
-    let text = String::from_utf8(request(0, &id, budget, b"")).unwrap().replace("/check/v1", LONG_TARGET);
-    let Ok(mut client) = Client::connect(address) else { return };
-    record(&format!("client sends {id} with a budget of {budget:.3} s"));
-    let sent_at = Instant::now();
-    let head = client.send(text.as_bytes()).and_then(|()| Message::read_head(&mut client.input));
-    let Ok(Some(head)) = head else {
-        counts.other.fetch_add(1, Ordering::Relaxed);
-        return record(&format!("client has no answer to {id}"));
+/// A client that opens a connection for one request.
+fn proper_request(address: SocketAddr, class: usize, ends: &Mutex<Ends>) {
+    let (id, budget) = (fresh_id(), CLASSES[class].3);
+    let connected = TcpStream::connect_timeout(&address, Duration::from_secs(1));
+    let sent = connected.and_then(|stream| {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+        let mut client = Client { input: std::io::BufReader::new(stream) };
+        client.send(&request(class, &id, budget, &[b'b'; 120]))?;
+        Ok(client)
+    });
+    let Ok(mut client) = sent else {
+        ends.lock().unwrap().not_taken += 1;
+        return record(&format!("request {id}: not connected, or not sent"));
     };
-    let first_bytes = sent_at.elapsed().as_secs_f64();
-    record(&format!(
-        "client has the head of the answer to {id} after {first_bytes:.3} s: {}",
-        head.first_line
-    ));
-    if head.status() != 200 || first_bytes > budget {
-        counts.other.fetch_add(1, Ordering::Relaxed);
-        return;
-    }
-    let (mut body, mut buffer) = (Vec::new(), vec![0; 32 << 10]);
-    let end = loop {
-        match client.input.read(&mut buffer) {
-            Ok(0) => break "closed".to_owned(),
-            Ok(length) => body.extend_from_slice(&buffer[..length]),
-            Err(error) => break error.to_string(),
+    let sent_at = Instant::now();
+    record(&format!("request {id} {} sent, X-Budget {budget}", CLASSES[class].0));
+    let answer = Message::read(&mut client.input);
+    let waited = sent_at.elapsed().as_secs_f64();
+    let mut ends = ends.lock().unwrap();
+    ends.latest = ends.latest.max(waited);
+    let is_late = waited > budget + LATEST_ANSWER;
+    let end = match answer {
+        Ok(Some(answer)) => {
+            if !is_late {
+                *ends.answered.entry(answer.status()).or_default() += 1;
+            }
+            format!("status {}", answer.status())
         }
-        if body.len() >= PIECE * PIECES {
-            break "whole".to_owned();
+        // The first request on a connection that is closed before anything was sent on has failed and is not lost.
+        Ok(None) => "closed".to_owned(),
+        Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+            "nothing".to_owned()
         }
+        Err(error) => format!("closed, {error}"),
     };
-    let elapsed = sent_at.elapsed().as_secs_f64();
-    record(&format!("client has {} bytes of the answer to {id} after {elapsed:.3} s: {end}", body.len()));
-    let is_whole = body == long_body();
-    if !is_whole {
-        record(&format!("BROKEN: the answer to {id} was cut off while its upstream went on"));
-    }
-    let counter = if is_whole { &counts.whole } else { &counts.cut };
-    counter.fetch_add(1, Ordering::Relaxed);
+    let is_closed = end.starts_with("closed");
+    let is_lost = is_late && !is_closed;
+    ends.closed_unanswered += usize::from(is_closed);
+    ends.lost += usize::from(is_lost);
+    record(&format!("request {id}: {end} after {waited:.3} s{}", if is_lost { ", LOST" } else { "" }));
 }
 
-/// Sends short requests until the end of the case.
-fn run_short_client(address: SocketAddr, mut random: Random, counts: &Counts) {
-    let Ok(mut client) = Client::connect(address) else { return };
-    while !is_stopped() {
-        sleep(random.waiting_time(0.15));
-        let class = draw_class(&mut random);
-        let (id, budget) = (fresh_id(), CLASSES[class].3);
-        let sent = client.send(&request(class, &id, budget, b"{\"amount\":1}"));
-        match sent.and_then(|()| Message::read(&mut client.input)) {
-            Ok(Some(message)) if message.status() == 200 => {
-                counts.short_served.fetch_add(1, Ordering::Relaxed);
-            }
-            Ok(Some(_)) => {}
-            _ => match Client::connect(address) {
-                Ok(connection) => client = connection,
-                Err(_) => return,
-            },
-        }
+fn case() -> Verdict {
+    // The time that the request has left at its upstream, against what the upstream is told.
+    let upstreams: Vec<SocketAddr> = (0..6)
+        .map(|number| {
+            upstream(move |request, output| {
+                record(&format!(
+                    "upstream s-{number}: {} told X-Budget {}",
+                    request.header("x-call-id"),
+                    request.header("x-budget")
+                ));
+                sleep(Duration::from_millis(100));
+                output.write_all(&answer(request.header("x-call-id").as_bytes())).map(|()| true)
+            })
+        })
+        .collect();
+    let entries: Vec<String> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(number, address)| entry(&format!("s-{number}"), *address, "in_service"))
+        .collect();
+    let agent = Agent::start(&entries);
+    let Some(balancer) = Balancer::start_with(agent.address, &entries, MEMORY_MB, SOCKETS) else {
+        return Verdict::CouldNotRun;
+    };
+    let address = balancer.address;
+    let crowd = has_trouble().then(|| thread::spawn(move || crowd(address)));
+    let ends = Arc::new(Mutex::new(Ends::default()));
+    let mut random = Random(7);
+    let mut clients = Vec::new();
+    let start = now() + 0.5;
+    let mut at = start;
+    while at < LAST_REQUEST_AT {
+        sleep(Duration::from_secs_f64((at - now()).max(0.0)));
+        let (class, ends) = (draw_class(&mut random), ends.clone());
+        clients.push(thread::spawn(move || proper_request(address, class, &ends)));
+        at += random.waiting_time(1.0 / RATE).as_secs_f64();
+    }
+    let sent = clients.len();
+    clients.into_iter().for_each(|client| client.join().unwrap_or(()));
+    if let Some(crowd) = crowd {
+        crowd.join().unwrap_or(());
     }
+    let ends = ends.lock().unwrap();
+    report(&format!(
+        "proper requests: {sent}, answered in time by status {:?}, closed without an answer {}, not taken {}, lost {}; \
+         the latest end after {:.1} s",
+        ends.answered, ends.closed_unanswered, ends.not_taken, ends.lost, ends.latest
+    ));
+    if ends.lost > 0 { Verdict::Broken } else { Verdict::Held }
 }
 
 fn main() {
