--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -96,6 +96,11 @@
     }
 }
 
+/// Sends a signal, such as "TERM", to a process that this case started.
+pub fn send_signal(pid: u32, name: &str) {
+    Command::new("/bin/sh").args(["-c", &format!("kill -s {name} {pid}")]).status().ok();
+}
+
 /// Writes a line to the record and to standard output.
 pub fn report(line: &str) {
     record(line);
@@ -332,6 +337,7 @@
 // ---- The balancer ----
 
 /// A balancer process, started by the command `run` of the deploy file.
+#[derive(Clone, Copy)]
 pub struct Balancer {
     pub address: SocketAddr,
     pub pid: u32,
@@ -345,6 +351,18 @@
 
     /// Starts a balancer with these limits on memory and descriptors.
     pub fn start_with(agent: SocketAddr, known: &[String], memory_mb: u64, sockets: usize) -> Option<Self> {
+        let free_address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(free_address, agent, known, memory_mb, sockets)
+    }
+
+    /// Starts a balancer that listens at this address.
+    pub fn start_at(
+        listen: SocketAddr,
+        agent: SocketAddr,
+        known: &[String],
+        memory_mb: u64,
+        sockets: usize,
+    ) -> Option<Self> {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let deploy = std::fs::read_to_string("deploy/balancer.toml").ok()?;
         let line = deploy.lines().find(|line| line.starts_with("run = "))?;
@@ -354,6 +372,7 @@
         std::fs::create_dir_all(&folder).ok()?;
         TEMPORARY_FOLDERS.lock().unwrap().push(folder.clone());
         let config = CONFIG
+            .replace("LISTEN", &listen.to_string())
             .replace("AGENT", &agent.to_string())
             .replace(
                 "SEED",
@@ -472,7 +491,7 @@
 }
 
 /// The configuration: the settings of the deployment described in the brief, one tier, one zone.
-const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"AGENT","seed":"SEED",
+const CONFIG: &str = r#"{"name":"n1","listen":"LISTEN","discovery":"AGENT","seed":"SEED",
 "limits":{"cores":1.0,"memory_mb":MEMORY_MB,"sockets":SOCKETS},
 "known":{"rev":1,"all":true,"targets":[KNOWN]},
 "settings":{
