Review case 3: long answers taken late after SIGTERM, in place of the late drain

Cause: requests are taken up to 2.2 s after SIGTERM, and nothing ends a long answer before the kill at 3.7 s.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,137 +1,215 @@
-//! An outage of discovery during which an upstream begins to drain: the agents learn of the drain at the return.
+//! Planned restarts, one balancer after the other, while some answers are long and take seconds.
 
 #[path = "../stand_ins/common.rs"]
 mod common;
 
 use common::*;
+use std::collections::HashMap;
 use std::io::Write;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-const UPSTREAMS: usize = 4;
-/// Balancers, each with an agent of its own on its machine.
-const BALANCERS: usize = 8;
-/// Clients of each balancer, which together send some tens of requests a second.
-const CLIENTS: u64 = 10;
-const ROUNDS: usize = 6;
-/// Length of an outage, in seconds.
-const OUTAGE: (f64, f64) = (8.0, 10.0);
-/// The grace of the settings, 750 ms, the 50 ms that sockets get on top, and 20 ms for the stand-ins.
-const GRACE: f64 = 0.82;
+/// Length of a long answer, in bytes; it is over 64 KiB and has a Content-Length.
+const LONG: usize = 150_000;
+/// Pause between two pieces of a long answer. An upstream takes 1.5 to 3.5 s to write all of them.
+const PIECE_PAUSE: Duration = Duration::from_millis(100);
+const PIECES: (f64, f64) = (15.0, 35.0);
+const UPSTREAMS: u64 = 4;
+const CLIENTS: u64 = 30;
+const SECONDS: u64 = 75;
+/// How long after SIGTERM the platform sends SIGKILL: the longest deadline, 3 s, plus 0.7 s, and a little more.
+const KILL_DELAY: Duration = Duration::from_millis(3720);
+/// A request that came later than this after SIGTERM and finds no whole answer is lost: 0.7 s, and a little more.
+const EXCUSED: f64 = 0.72;
 
-/// A request as an upstream received it.
+fn long_body(id: &str) -> Vec<u8> {
+    format!("long answer to {id}\n").bytes().cycle().take(LONG).collect()
+}
+
+fn serve(number: u64, request: &Message, output: &mut std::net::TcpStream) -> std::io::Result<bool> {
+    let id = request.header("x-call-id").to_owned();
+    let mut random = Random(u64::from_str_radix(&id, 16).unwrap_or(1) ^ number);
+    sleep(Duration::from_secs_f64(random.between(0.04, 0.12)));
+    if !request.target().contains("long") {
+        output.write_all(&answer(format!("answer to {id}").as_bytes()))?;
+        return Ok(true);
+    }
+    let whole = answer(&long_body(&id));
+    let pieces = random.between(PIECES.0, PIECES.1) as usize;
+    for (position, piece) in whole.chunks(whole.len().div_ceil(pieces)).enumerate() {
+        if let Err(error) = output.write_all(piece) {
+            record(&format!(
+                "upstream {number}: piece {position} of {pieces} of {id} cannot be written: {error}"
+            ));
+            return Err(error);
+        }
+        sleep(PIECE_PAUSE);
+    }
+    Ok(true)
+}
+
+/// One of the two balancers, as the front and the platform see it.
 #[derive(Clone, Copy)]
-struct Arrival {
-    balancer: usize,
-    upstream: usize,
-    at: f64,
+struct Node {
+    balancer: Balancer,
+    /// Whether the front sends new connections there.
+    admitted: bool,
 }
 
-type Arrivals = Arc<Mutex<Vec<Arrival>>>;
+/// When each process got SIGTERM, in seconds since the start of the case, by its process id.
+type Stops = Mutex<HashMap<u32, f64>>;
+
+#[derive(Default)]
+struct Seen {
+    whole: u32,
+    not_served: u32,
+    /// The connection ended without an answer: the request is sent once more over a new connection.
+    not_read: u32,
+    excused: u32,
+    lost: u32,
+}
+
+/// Connects to a node that the front admits. Returns the id of its process, too.
+fn connect(nodes: &Mutex<[Node; 2]>, random: &mut Random) -> Option<(u32, Client)> {
+    for _ in 0..100 {
+        let number = (random.next() % 2) as usize;
+        let number = if nodes.lock().unwrap()[number].admitted { number } else { 1 - number };
+        let Node { balancer, admitted } = nodes.lock().unwrap()[number];
+        if admitted && let Ok(client) = Client::connect(balancer.address) {
+            return Some((balancer.pid, client));
+        }
+        sleep(Duration::from_millis(20));
+    }
+    None
+}
 
-/// Sends requests one after another until the case is over.
-fn run_client(balancer: usize, number: u64, address: std::net::SocketAddr) -> Option<()> {
-    let mut random = Random(1000 * balancer as u64 + number);
-    let mut client = Client::connect(address).ok()?;
-    while !is_stopped() {
-        sleep(random.waiting_time(0.15));
-        let class = draw_class(&mut random);
-        let text = String::from_utf8(request(class, &fresh_id(), CLASSES[class].3, b"body")).ok()?;
-        // The upstreams see by this header which balancer sent the request.
-        let text = text.replacen("\r\n", &format!("\r\nX-Balancer: {balancer}\r\n"), 1);
-        if client.send(text.as_bytes()).is_err() || Message::read(&mut client.input).ok().flatten().is_none()
-        {
-            client = Client::connect(address).ok()?;
+/// Reads an answer. Returns its status, the bytes read of its body and the length of its body.
+fn read_answer(client: &mut Client, random: &mut Random) -> Option<(u16, bool, usize, usize)> {
+    let head = Message::read_head(&mut client.input).ok()??;
+    let length: usize = head.header("content-length").parse().unwrap_or(0);
+    let mut buffer = vec![0; 16 << 10];
+    let mut received = 0;
+    while received < length {
+        let wanted = (length - received).min(1 + (random.next() % (16 << 10)) as usize);
+        match client.read_some(&mut buffer[..wanted]) {
+            Ok(0) | Err(_) => break,
+            Ok(bytes) => received += bytes,
+        }
+    }
+    Some((head.status(), head.header("connection") == "close", received, length))
+}
+
+fn run_client(number: u64, nodes: &Mutex<[Node; 2]>, stops: &Stops, seen: &Mutex<Seen>) -> Option<()> {
+    let mut random = Random(0x4e57 + number);
+    let mut connection = None;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(SECONDS) {
+        sleep(random.waiting_time(0.4));
+        let (pid, mut client) = match connection.take() {
+            Some(connection) => connection,
+            None => connect(nodes, &mut random)?,
+        };
+        let (class, id) = (draw_class(&mut random), fresh_id());
+        let is_long = random.fraction() < 0.15;
+        let text = String::from_utf8(request(class, &id, CLASSES[class].3, b"body")).ok()?;
+        let text = if is_long { text.replace("n=7", "n=long") } else { text };
+        client.send(text.as_bytes()).ok();
+        let sent_at = now();
+        let outcome = read_answer(&mut client, &mut random);
+        let stopped_at = stops.lock().unwrap().get(&pid).copied();
+        let since_stop = stopped_at.map_or(f64::NEG_INFINITY, |stopped_at| sent_at - stopped_at);
+        let mut seen = seen.lock().unwrap();
+        match outcome {
+            Some((status, closes, received, length)) if received == length => {
+                seen.whole += u32::from(status == 200);
+                seen.not_served += u32::from(status != 200);
+                if !closes {
+                    connection = Some((pid, client));
+                }
+            }
+            Some((status, _, received, length)) => {
+                let is_lost = stopped_at.is_none() || since_stop > EXCUSED;
+                record(&format!(
+                    "client {number}: {id} {}, sent {since_stop:.3} s after SIGTERM: {status}, cut off after {received} of {length} bytes: {}",
+                    CLASSES[class].0,
+                    if is_lost { "lost" } else { "excused" }
+                ));
+                seen.lost += u32::from(is_lost);
+                seen.excused += u32::from(!is_lost);
+            }
+            None => seen.not_read += 1,
         }
     }
     Some(())
 }
 
+/// Restarts one node after the other, as the platform does.
+fn restart(nodes: &Mutex<[Node; 2]>, stops: &Stops, agents: &[Agent; 2], entries: &[String]) -> Option<()> {
+    let start = Instant::now();
+    let mut random = Random(0x9e1 + u64::from(std::process::id()));
+    for number in [0, 1].into_iter().cycle() {
+        sleep(Duration::from_secs(3));
+        if start.elapsed() + KILL_DELAY + Duration::from_secs(6) > Duration::from_secs(SECONDS) {
+            break;
+        }
+        let Balancer { address, pid } = nodes.lock().unwrap()[number].balancer;
+        record(&format!("SIGTERM to balancer {number}"));
+        stops.lock().unwrap().insert(pid, now());
+        send_signal(pid, "TERM");
+        let front_notices = Duration::from_secs_f64(random.between(0.2, 0.4));
+        sleep(front_notices);
+        nodes.lock().unwrap()[number].admitted = false;
+        sleep(KILL_DELAY - front_notices);
+        record(&format!("SIGKILL to balancer {number}, if it still runs"));
+        send_signal(pid, "KILL");
+        sleep(Duration::from_millis(300));
+        let balancer = Balancer::start_at(address, agents[number].address, entries, 96, 512)?;
+        nodes.lock().unwrap()[number] = Node { balancer, admitted: true };
+    }
+    Some(())
+}
+
 fn case() -> Verdict {
-    let arrivals: Arrivals = Arc::default();
-    let upstreams: Vec<_> = (0..UPSTREAMS)
+    let entries: Vec<String> = (0..UPSTREAMS)
         .map(|number| {
-            let arrivals = arrivals.clone();
-            upstream(move |request, output| {
-                let balancer = request.header("x-balancer").parse().unwrap_or(usize::MAX);
-                arrivals.lock().unwrap().push(Arrival { balancer, upstream: number, at: now() });
-                sleep(Duration::from_millis(80));
-                output.write_all(&answer(format!("answer to {}", request.header("x-call-id")).as_bytes()))?;
-                Ok(true)
-            })
+            let address = upstream(move |request, output| serve(number, request, output));
+            entry(&format!("s-{number}"), address, "in_service")
         })
         .collect();
-    // The list, with one upstream draining.
-    let list = |draining: Option<usize>| -> Vec<String> {
-        let state = |number| if draining == Some(number) { "terminating" } else { "in_service" };
-        upstreams
-            .iter()
-            .enumerate()
-            .map(|(n, address)| entry(&format!("s-{n}"), *address, state(n)))
-            .collect()
+    let agents = [Agent::start(&entries), Agent::start(&entries)];
+    let start = |agent: &Agent| Balancer::start(agent.address, &entries);
+    let (Some(first), Some(second)) = (start(&agents[0]), start(&agents[1])) else {
+        return Verdict::CouldNotRun;
     };
-    let mut random = Random(u64::from(std::process::id()));
-    let mut agents = Vec::new();
-    for balancer in 0..BALANCERS {
-        let agent = Agent::start(&list(None));
-        let Some(Balancer { address, .. }) = Balancer::start(agent.address, &list(None)) else {
-            return Verdict::CouldNotRun;
-        };
-        agents.push(agent);
-        for number in 0..CLIENTS {
-            thread::spawn(move || run_client(balancer, number, address));
-        }
+    let node = |balancer| Node { balancer, admitted: true };
+    let nodes = Arc::new(Mutex::new([node(first), node(second)]));
+    let stops: Arc<Stops> = Arc::default();
+    let seen: Arc<Mutex<Seen>> = Arc::default();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (nodes, stops, seen) = (nodes.clone(), stops.clone(), seen.clone());
+            thread::spawn(move || run_client(number, &nodes, &stops, &seen))
+        })
+        .collect();
+    if has_trouble() && restart(&nodes, &stops, &agents, &entries).is_none() {
+        return Verdict::CouldNotRun;
     }
-    let mut late_count = 0;
-    let start = Instant::now();
-    for round in 0..ROUNDS {
-        // Discovery works. Its lists reach the machines up to 2 s apart.
-        let mut delays: Vec<(f64, usize)> = (0..BALANCERS).map(|n| (random.between(0.0, 2.0), n)).collect();
-        delays.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let begin = Instant::now();
-        for (delay, number) in delays {
-            sleep(Duration::from_secs_f64(delay).saturating_sub(begin.elapsed()));
-            agents[number].tell(&list(None));
-        }
-        sleep(Duration::from_millis(500));
-        if has_trouble() {
-            record(&format!("round {round}: discovery goes down"));
-            agents.iter().for_each(Agent::fall_silent);
-        }
-        sleep(Duration::from_secs_f64(random.between(OUTAGE.0, OUTAGE.1)));
-        let draining = round % UPSTREAMS;
-        let told_at: Vec<f64> = agents
-            .iter()
-            .map(|agent| {
-                agent.tell(&list(Some(draining)));
-                now()
-            })
-            .collect();
-        record(&format!("round {round}: discovery answers, and tells that s-{draining} drains"));
-        sleep(Duration::from_millis(2500));
-        for arrival in arrivals.lock().unwrap().drain(..) {
-            let Some(told_at) = told_at.get(arrival.balancer).filter(|_| arrival.upstream == draining) else {
-                continue;
-            };
-            let after = arrival.at - told_at;
-            if after > GRACE {
-                late_count += 1;
-                record(&format!(
-                    "round {round}: balancer {} sent a request to s-{draining} {after:.3} s after its agent had the drain",
-                    arrival.balancer
-                ));
-            }
+    for client in clients {
+        if client.join().ok().flatten().is_none() {
+            return Verdict::CouldNotRun;
         }
     }
-    STOP.store(true, Ordering::Relaxed);
-    sleep(Duration::from_millis(500));
+    let seen = seen.lock().unwrap();
     report(&format!(
-        "{late_count} requests sent to a draining upstream too late, in {ROUNDS} rounds with {BALANCERS} balancers, {:.0} s",
-        start.elapsed().as_secs_f64()
+        "answers: {} served whole, {} not served, {} cut off and excused, {} lost; {} requests not read",
+        seen.whole, seen.not_served, seen.excused, seen.lost, seen.not_read
     ));
-    if late_count > 0 { Verdict::Broken } else { Verdict::Held }
+    match (seen.lost > 0, seen.whole > 0) {
+        (true, _) => Verdict::Broken,
+        (false, true) => Verdict::Held,
+        (false, false) => Verdict::CouldNotRun,
+    }
 }
 
 fn main() {
