Begin no long response after SIGTERM that the kill might cut off

Cause: the time for which clients are served after SIGTERM was computed as if each response ended within the longest wait of a request. That holds for a response that is buffered as a whole. A streamed response has no deadline, only a minimum rate, so it was begun at any time and went on past the kill.

Change: ShutdownSchedule holds the times of a shutdown, derived from the signal. A request that is received more than 0.7 s after SIGTERM, less 0.15 s by which the process may notice it late, gets a buffered response or none: a response that is too long is not begun, and the request is rejected if it is idempotent and fails otherwise. The checks compare times, so that a process that was held up does not miss them. Where more than one in a hundred responses are long, connections are closed between requests after 0.45 s instead, and clients go to another balancer.

Why this works: what is open after the first 0.7 s is bounded by the attempt's deadline, which the schedule leaves time for.

--- a/emulator/src/hollow.rs
+++ b/emulator/src/hollow.rs
@@ -667,7 +667,9 @@
         if attempt.measured {
             let count = &mut self.counts.tiers[tier];
             *match outcome {
-                AttemptOutcome::Success | AttemptOutcome::InvalidRequest => &mut count.ok,
+                AttemptOutcome::Success | AttemptOutcome::InvalidRequest | AttemptOutcome::Undeliverable => {
+                    &mut count.ok
+                }
                 AttemptOutcome::Error => &mut count.errors,
                 AttemptOutcome::Rejected => &mut count.rejected,
                 AttemptOutcome::Timeout => &mut count.timeouts,
--- a/src/decision/attempt_learning.rs
+++ b/src/decision/attempt_learning.rs
@@ -49,7 +49,10 @@
         let sent_at = now.saturating_sub(end.elapsed);
         match end.outcome {
             AttemptOutcome::Success => self.on_success(request, position),
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent | AttemptOutcome::InvalidRequest => {}
+            AttemptOutcome::Cancelled
+            | AttemptOutcome::NotSent
+            | AttemptOutcome::InvalidRequest
+            | AttemptOutcome::Undeliverable => {}
             AttemptOutcome::Rejected => {
                 let request_duration = self.traffic.overall.baseline as Duration;
                 self.endpoints[position].rejections[class].on_rejection(now, request_duration);
--- a/src/decision/event.rs
+++ b/src/decision/event.rs
@@ -72,6 +72,8 @@
     Cancelled,
     /// The attempt was never sent.
     NotSent,
+    /// The endpoint responded, so the request has run, but the response is too long to be forwarded now.
+    Undeliverable,
 }
 
 impl AttemptOutcome {
@@ -124,6 +126,14 @@
     pub load: Option<LoadReport>,
 }
 
+impl AttemptEnd {
+    /// Whether another attempt is possible and might end differently. The response to a repetition of a request is as
+    /// long as the first one.
+    pub(crate) fn allows_retry(&self) -> bool {
+        !self.body_consumed && self.outcome != AttemptOutcome::Undeliverable
+    }
+}
+
 /// An input of the balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<'a> {
--- a/src/decision/request_lifecycle.rs
+++ b/src/decision/request_lifecycle.rs
@@ -327,7 +327,7 @@
         if !end.outcome.never_ran() {
             request.first_possible_execution = request.first_possible_execution.or(request.last_attempt);
         }
-        if !end.body_consumed && self.try_retry(&request) {
+        if end.allows_retry() && self.try_retry(&request) {
             self.start_attempt(id, request);
         } else {
             self.give_up(id, &request);
--- a/src/proxy/dispatcher/attempts.rs
+++ b/src/proxy/dispatcher/attempts.rs
@@ -7,6 +7,7 @@
 use crate::proxy::metrics::{self};
 use crate::proxy::minimum_rate::IDLE_TIMEOUT;
 use crate::proxy::send_check::upstream_budget;
+use crate::proxy::shutdown_schedule::StreamingCondition;
 use crate::proxy::upstream::exchange::{
     AttemptResult, ExchangeContext, ExchangeOutcome, StartedResponse, exchange,
 };
@@ -85,6 +86,10 @@
         let attempt_counter = Some(self.counters.attempt_counter());
         let begin_by = begin_by.map(|begin_by| self.clock.instant(begin_by));
         let request_deadline = pending_request.request_deadline.map(|deadline| self.clock.instant(deadline));
+        let streaming_condition = Some(StreamingCondition {
+            received_at: pending_request.received_at.subscribe(),
+            shutdown: self.shutdown.clone(),
+        });
         let context = self.exchange_context(
             connection_source,
             address,
@@ -99,6 +104,7 @@
             begin_by,
             client,
             client_deadline,
+            streaming_condition,
             ..context
         };
         let exchange = exchange(request, context);
@@ -158,6 +164,7 @@
             body_memory: self.body_memory.clone(),
             client: None,
             client_deadline: None,
+            streaming_condition: None,
             write_started: Arc::default(),
         }
     }
@@ -190,6 +197,9 @@
         let Some((sender, _)) = self.take_response_sender(id) else {
             return self.on_attempt_ended(id, number, AttemptOutcome::Cancelled.into());
         };
+        if started.is_long() {
+            self.counters.count_long_response();
+        }
         let load = self.response_load_report(&started.head);
         let pending_request = self.requests.get_mut(&id);
         let attempt = pending_request.and_then(|pending_request| {
--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -20,6 +20,7 @@
 use crate::proxy::metrics::{self, Counters};
 use crate::proxy::orders::OfflineList;
 use crate::proxy::shared_folder::{FolderState, SharedFolder};
+use crate::proxy::shutdown_schedule::ShutdownReceiver;
 use crate::proxy::start_times::{ListOrigin, StartTimes};
 use crate::proxy::upstream::pool::IdlePool;
 use balancer::decision::LoadBalancer;
@@ -65,8 +66,8 @@
     /// When the client stops waiting, as known when the request was accepted: the same as `request_deadline`, or, if
     /// the body was still being received, counted from the end of its buffered part.
     client_deadline: Time,
-    /// When a streamed request was received completely. The time limit of attempts that started earlier is counted from
-    /// then on.
+    /// When the request was received completely; `None` while its body is still being received. The time limit of
+    /// attempts that started earlier is counted from then on.
     received_at: watch::Sender<Option<Instant>>,
     /// Where the final response is sent; `None` once it is sent or the client has disconnected.
     response_sender: Option<oneshot::Sender<FinalResponse>>,
@@ -146,6 +147,8 @@
     endpoints: HashMap<EndpointId, Upstream>,
     idle_pool: IdlePool,
     body_memory: Arc<BodyMemory>,
+    /// The schedule of the shutdown, once a stop is requested.
+    shutdown: ShutdownReceiver,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
     /// The deadline guards of the requests that have no response yet, by the time at which each guard expires.
     deadline_guards: BTreeSet<(Time, RequestId)>,
@@ -176,6 +179,7 @@
         ready_sender: watch::Sender<bool>,
         (counters, body_memory): (Arc<Counters>, Arc<BodyMemory>),
         shared_folder: Option<(SharedFolder, FolderState)>,
+        shutdown: ShutdownReceiver,
     ) -> Result<Self, String> {
         let clock = Clock::new();
         let balancer = LoadBalancer::new(config.settings.clone(), config.seed, clock.now())
@@ -201,6 +205,7 @@
             endpoints: HashMap::new(),
             idle_pool,
             body_memory,
+            shutdown,
             timers: BinaryHeap::new(),
             deadline_guards: BTreeSet::new(),
             actions: Vec::new(),
--- a/src/proxy/dispatcher/requests.rs
+++ b/src/proxy/dispatcher/requests.rs
@@ -32,7 +32,7 @@
                 class: client_request.class,
                 request_deadline,
                 client_deadline,
-                received_at: watch::Sender::new(None),
+                received_at: watch::Sender::new((!body_incomplete).then(Instant::now)),
                 response_sender: Some(client_request.response_sender),
                 attempts: 0,
                 attempts_in_flight: Vec::new(),
--- a/src/proxy/downstream/admission.rs
+++ b/src/proxy/downstream/admission.rs
@@ -10,6 +10,7 @@
 use crate::proxy::messages::DispatcherMessage;
 use crate::proxy::sync::lock;
 use crate::transient_errors::{Backoff, is_shortage};
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::net::{TcpListener, TcpStream};
@@ -43,12 +44,12 @@
         }
     }
 
-    /// Accepts connections until the future is dropped.
+    /// Accepts connections until the future is dropped; it never completes.
     pub async fn accept_clients(
         self: &Arc<Self>,
         listener: &TcpListener,
         graceful_shutdown: &watch::Receiver<bool>,
-    ) {
+    ) -> Infallible {
         let mut accept_failures: Option<AcceptFailures> = None;
         loop {
             self.wait_for_capacity().await;
--- a/src/proxy/downstream/draining.rs
+++ b/src/proxy/downstream/draining.rs
@@ -1,11 +1,10 @@
-//! Draining before the process exits: the backlog, the last responses, and how long clients are still served.
+//! Draining before the process exits: the backlog and the last responses.
 
 use crate::proxy::downstream::DownstreamServer;
 use crate::proxy::downstream::closing::LINGER_TIMEOUT;
 use crate::proxy::downstream::timing::TIMEOUT_CHECK_INTERVAL;
 use crate::proxy::sync::lock;
 use crate::transient_errors::Backoff;
-use balancer::decision::Settings;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,17 +12,6 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// Minimum time that clients are still served after a stop signal, as they learn of the stop with a delay.
-pub const MIN_DRAIN_TIME: Duration = Duration::from_millis(500);
-
-/// The earliest kill after a stop signal: after the longest deadline, capped at the first value, plus the second value.
-/// Other balancers may be down until then, so clients are served for as long as the decision module can still end their
-/// requests in time.
-pub const KILL_DELAY: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(700));
-
-/// Time left between the last responses and the kill.
-pub const KILL_MARGIN: Duration = Duration::from_millis(300);
-
 /// Time without a new connection after which the backlog counts as empty.
 pub const BACKLOG_EMPTY_TIMEOUT: Duration = Duration::from_millis(10);
 
@@ -34,11 +22,6 @@
 /// this is the time that responses may take after the last connection was accepted.
 pub const FINAL_RESPONSE_MARGIN: Duration = Duration::from_millis(60);
 
-/// The longest deadline of all classes, in nanoseconds.
-pub fn longest_deadline(settings: &Settings) -> u64 {
-    settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
-}
-
 impl DownstreamServer {
     /// Has all open requests answered before the process exits. A request that is dropped with its task would get no
     /// response.
@@ -81,12 +64,4 @@
             self.client_closed.notified().await;
         }
     }
-
-    /// How long clients are still served after a stop signal.
-    pub fn drain_time(&self) -> Duration {
-        let settings = &self.config.settings;
-        let kill_delay = Duration::from_nanos(longest_deadline(settings)).min(KILL_DELAY.0) + KILL_DELAY.1;
-        let response_time = Duration::from_nanos(settings.longest_wait()) + KILL_MARGIN;
-        kill_delay.saturating_sub(response_time).max(MIN_DRAIN_TIME)
-    }
 }
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -18,11 +18,13 @@
 use crate::proxy::downstream::client::ClientHandle;
 use crate::proxy::messages::DispatcherMessage;
 use crate::proxy::metrics::Counters;
+use crate::proxy::shutdown_schedule::ShutdownReceiver;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64};
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 /// Number of consecutive failures to accept after which a shortage of descriptors or memory counts as persistent. With
 /// the pauses between them, that is after about 0.2 s. Failures are counted rather than timed, as the process itself
@@ -56,26 +58,37 @@
     pub client_closed: Notify,
     /// The process is being replaced or stopped: each connection is closed after its next response.
     pub draining: AtomicBool,
-    /// New requests are rejected, as they might not be answered before the process is killed.
-    pub rejecting: AtomicBool,
+    /// The schedule of the shutdown, once a stop is requested.
+    pub shutdown: ShutdownReceiver,
     /// The process is shutting down: each open request gets a response at once.
     pub shutting_down: AtomicBool,
 }
 
+/// What other tasks signal to the server.
+pub struct ServerSignals {
+    /// See [`DownstreamServer::ready`].
+    pub ready: watch::Receiver<bool>,
+    /// See [`DownstreamServer::discovery_attempted`].
+    pub discovery_attempted: watch::Receiver<bool>,
+    /// See [`DownstreamServer::shutdown`].
+    pub shutdown: ShutdownReceiver,
+}
+
 impl DownstreamServer {
     /// Creates a server that hands its requests to the dispatcher.
     pub fn new(
         config: Arc<Config>,
         dispatcher_sender: UnboundedSender<DispatcherMessage>,
-        (ready, discovery_attempted): (watch::Receiver<bool>, watch::Receiver<bool>),
+        signals: ServerSignals,
         counters: Arc<Counters>,
         body_memory: Arc<BodyMemory>,
     ) -> Self {
         Self {
             config,
             dispatcher_sender,
-            ready,
-            discovery_attempted,
+            ready: signals.ready,
+            discovery_attempted: signals.discovery_attempted,
+            shutdown: signals.shutdown,
             counters,
             next_request_id: AtomicU32::new(0),
             next_client_id: AtomicU64::new(0),
@@ -84,7 +97,6 @@
             body_memory,
             client_closed: Notify::new(),
             draining: AtomicBool::new(false),
-            rejecting: AtomicBool::new(false),
             shutting_down: AtomicBool::new(false),
         }
     }
@@ -93,4 +105,9 @@
     async fn wait_for_discovery_attempt(&self) {
         self.discovery_attempted.clone().wait_for(|discovery_attempted| *discovery_attempted).await.ok();
     }
+
+    /// Whether requests are rejected, as they might not be answered before the process is killed.
+    fn is_rejecting(&self) -> bool {
+        self.shutdown.borrow().is_some_and(|schedule| Instant::now() >= schedule.reject_at)
+    }
 }
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -130,7 +130,7 @@
         // The body is buffered before this wait, so that the budget already runs during the wait.
         let is_discovery_attempted =
             timeout(parameters.budget, self.wait_for_discovery_attempt()).await.is_ok();
-        if !is_discovery_attempted || self.rejecting.load(Ordering::Relaxed) {
+        if !is_discovery_attempted || self.is_rejecting() {
             return Ok(self.reject(parameters.class));
         }
         remove_hop_by_hop_headers(&mut head.headers);
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -21,6 +21,8 @@
     classes: Vec<ClassCounters>,
     /// Attempts whose request was written completely.
     attempts: Arc<AtomicU64>,
+    /// Responses that were too long to be buffered.
+    long_responses: AtomicU64,
     /// Requests in flight now.
     inflight: Arc<AtomicUsize>,
     /// Endpoints that are listed now.
@@ -37,6 +39,13 @@
     outcomes: [AtomicU64; 3],
 }
 
+impl ClassCounters {
+    /// The number of requests that ended with this outcome.
+    fn count(&self, outcome: RequestOutcome) -> u64 {
+        self.outcomes[outcome as usize].load(Ordering::Relaxed)
+    }
+}
+
 impl Counters {
     /// Creates counters at zero for the named classes.
     pub fn new(classes: &[String]) -> Self {
@@ -52,6 +61,17 @@
         }
     }
 
+    /// Counts a response that is too long to be buffered.
+    pub fn count_long_response(&self) {
+        self.long_responses.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The share of the successful responses that were too long to be buffered.
+    pub fn long_response_share(&self) -> f64 {
+        let successes = self.classes.iter().map(|class| class.count(RequestOutcome::Success)).sum::<u64>();
+        self.long_responses.load(Ordering::Relaxed) as f64 / successes.max(1) as f64
+    }
+
     /// The counter of attempts whose request was written completely.
     pub fn attempt_counter(&self) -> Arc<AtomicU64> {
         self.attempts.clone()
@@ -72,9 +92,12 @@
     /// The counters as JSON, in the form that the admin server returns.
     pub fn report(&self) -> Value {
         let classes = self.classes.iter().map(|class| {
-            let [success, busy, failure] =
-                class.outcomes.each_ref().map(|count| count.load(Ordering::Relaxed));
-            (class.name.clone(), json!({"success": success, "busy": busy, "failure": failure}))
+            let outcomes = json!({
+                "success": class.count(RequestOutcome::Success),
+                "busy": class.count(RequestOutcome::Busy),
+                "failure": class.count(RequestOutcome::Failure),
+            });
+            (class.name.clone(), outcomes)
         });
         json!({
             "calls": classes.collect::<serde_json::Map<_, _>>(),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,14 +19,18 @@
 mod process_handover;
 mod send_check;
 mod shared_folder;
+mod shutdown_schedule;
 mod start_times;
 mod sync;
 mod upstream;
 
 use crate::config::Config;
 use crate::transient_errors::retry_blocking;
+use balancer::decision::Settings;
+use downstream::{DownstreamServer, ServerSignals};
 use messages::DispatcherMessage;
 use shared_folder::{FolderState, SharedFolder};
+use shutdown_schedule::ShutdownSchedule;
 use std::io::{self};
 use std::net::SocketAddr;
 use std::os::fd::{FromRawFd, RawFd};
@@ -36,6 +40,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 /// Buffered bodies may use the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: usize = 4;
@@ -92,6 +97,25 @@
         .map_err(|error| format!("cannot start the thread of the shared folder: {error}"))
 }
 
+/// Starts the shutdown, unless it has started already.
+fn request_stop(
+    shutdown_sender: &watch::Sender<Option<ShutdownSchedule>>,
+    settings: &Settings,
+    long_response_share: f64,
+) {
+    shutdown_sender.send_if_modified(|schedule| {
+        if schedule.is_some() {
+            return false;
+        }
+        let now = Instant::now();
+        let new_schedule = ShutdownSchedule::new(settings, long_response_share, now);
+        let serving_time = new_schedule.reject_at - now;
+        logging::log(format_args!("stop requested, requests are served for {serving_time:.2?} more"));
+        *schedule = Some(new_schedule);
+        true
+    });
+}
+
 /// Serves until SIGTERM or SIGINT, and then until all accepted requests have been answered. SIGHUP reloads the
 /// configuration.
 pub async fn run(config: Config) -> Result<(), String> {
@@ -113,7 +137,7 @@
     let (dispatcher_sender, inbox) = mpsc::unbounded_channel();
     let (ready_sender, ready_receiver) = watch::channel(false);
     let (watch_request_sender, watch_requests) = mpsc::unbounded_channel();
-    let (stop_sender, stop_receiver) = watch::channel(false);
+    let (shutdown_sender, shutdown_receiver) = watch::channel(None);
     let (discovery_address_sender, discovery_address_receiver) = watch::channel(config.discovery);
     let (discovery_attempted_sender, discovery_attempted_receiver) = watch::channel(false);
 
@@ -131,6 +155,7 @@
         ready_sender,
         counters_and_memory,
         shared_folder,
+        shutdown_receiver.clone(),
     )?;
     if let Some(address) = config.admin {
         let (counters, ready, dispatcher_sender) =
@@ -145,18 +170,20 @@
         discovery_address_receiver,
         discovery_attempted_sender,
     ));
-    let server = downstream::DownstreamServer::new(
-        config,
-        dispatcher_sender,
-        (ready_receiver, discovery_attempted_receiver),
-        counters,
-        body_memory,
-    );
-    let mut server_task = tokio::spawn(server.run(listener, stop_receiver));
+    let stop_counters = counters.clone();
+    let signals = ServerSignals {
+        ready: ready_receiver,
+        discovery_attempted: discovery_attempted_receiver,
+        shutdown: shutdown_receiver,
+    };
+    let server = DownstreamServer::new(config.clone(), dispatcher_sender, signals, counters, body_memory);
+    let mut server_task = tokio::spawn(server.run(listener));
 
     // While the last clients are served, SIGHUP may still change discovery's address, and another SIGTERM or SIGINT
     // changes nothing.
     let mut outcome = Ok(());
+    let request_stop =
+        || request_stop(&shutdown_sender, &config.settings, stop_counters.long_response_share());
     loop {
         tokio::select! {
             result = &mut server_task =>
@@ -164,10 +191,10 @@
             // Open requests, and those that are received until the server has stopped, get the response of a failure.
             Err(error) = &mut dispatcher_task, if outcome.is_ok() => {
                 outcome = Err(format!("the dispatcher stopped: {error}"));
-                stop_sender.send_replace(true);
+                request_stop();
             }
-            _ = sigterm.recv() => { stop_sender.send_replace(true); }
-            _ = sigint.recv() => { stop_sender.send_replace(true); }
+            _ = sigterm.recv() => request_stop(),
+            _ = sigint.recv() => request_stop(),
             _ = sighup.recv() => drop(tokio::spawn(reload(discovery_address_sender.clone()))),
         }
     }
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY};
 use crate::proxy::downstream::connection::ClientLiveness;
 use crate::proxy::send_check::{NotSentReason, SendCheck, SendConditions, format_seconds};
+use crate::proxy::shutdown_schedule::StreamingCondition;
 use crate::proxy::sync::lock;
 use crate::proxy::upstream::connect::{ConnectDeadline, ConnectError};
 use crate::proxy::upstream::connection::{BodyEndCallback, Connection};
@@ -68,6 +69,14 @@
     pub memory_permit: Option<MemoryPermit>,
 }
 
+impl StartedResponse {
+    /// Whether the response is known to be too long to be buffered.
+    pub fn is_long(&self) -> bool {
+        let known_length = self.head.body().len() as u64 + self.body.size_hint().lower();
+        known_length > MAX_BUFFERED_BODY as u64
+    }
+}
+
 impl From<AttemptOutcome> for ExchangeOutcome {
     fn from(outcome: AttemptOutcome) -> Self {
         Self::Ended(outcome.into())
@@ -98,6 +107,8 @@
     pub client: Option<ClientLiveness>,
     /// When the client stops waiting, as known when its request was accepted; `None` for a load query.
     pub client_deadline: Option<Instant>,
+    /// Whether the response may be streamed; `None` for a load query.
+    pub streaming_condition: Option<StreamingCondition>,
     /// Set right before the first byte of the request is written.
     pub write_started: Arc<AtomicBool>,
 }
@@ -200,11 +211,16 @@
     if body.size_hint().lower() > MAX_BODY {
         return AttemptOutcome::Error.into(); // exceeds the response size limit
     }
+    let may_stream = context.streaming_condition.as_ref().is_none_or(StreamingCondition::holds);
     let size = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
+    if !may_stream && size.is_some_and(|size| size > MAX_BUFFERED_BODY) {
+        return undeliverable_outcome(outcome).into();
+    }
     let bufferable_size = size.filter(|size| *size <= MAX_BUFFERED_BODY);
     let memory_permit = context.body_memory.try_reserve(bufferable_size.unwrap_or(MAX_BUFFERED_BODY));
     // A response of unknown length may be small but slow. After this time, the client receives it as a stream.
-    let buffering_deadline = bufferable_size.is_none().then(|| Instant::now() + MAX_BUFFERING_TIME);
+    let buffering_deadline =
+        (may_stream && bufferable_size.is_none()).then(|| Instant::now() + MAX_BUFFERING_TIME);
     let max_buffered = if memory_permit.is_some() { MAX_BUFFERED_BODY } else { 0 };
     let (buffered, complete) = match buffer_body(&mut body, max_buffered, buffering_deadline).await {
         Ok(BufferedBody { buffered, complete }) => (buffered, complete || body.is_end_stream()),
@@ -216,7 +232,7 @@
         return ExchangeOutcome::Ended(AttemptResult { outcome, response: Some(head), connection });
     }
     match outcome {
-        AttemptOutcome::Success | AttemptOutcome::InvalidRequest => {
+        AttemptOutcome::Success | AttemptOutcome::InvalidRequest if may_stream => {
             ExchangeOutcome::ResponseStarted(Box::new(StartedResponse {
                 head,
                 body,
@@ -224,7 +240,20 @@
                 memory_permit,
             }))
         }
-        outcome => outcome.into(), // an error response is not streamed to the client
+        outcome => undeliverable_outcome(outcome).into(), // an error response is not streamed to the client
+    }
+}
+
+/// The outcome of an exchange whose response, which has this outcome, is not forwarded because of its length.
+fn undeliverable_outcome(outcome: AttemptOutcome) -> AttemptOutcome {
+    match outcome {
+        AttemptOutcome::Success | AttemptOutcome::InvalidRequest => {
+            crate::proxy::logging::log(format_args!(
+                "a long response is not forwarded, as the process might end before it"
+            ));
+            AttemptOutcome::Undeliverable
+        }
+        outcome => outcome,
     }
 }
 
--- a/src/proxy/upstream/tests.rs
+++ b/src/proxy/upstream/tests.rs
@@ -35,6 +35,7 @@
         body_memory: BodyMemory::new(1 << 20),
         client: None,
         client_deadline: None,
+        streaming_condition: None,
         write_started: Arc::default(),
     }
 }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -413,6 +413,11 @@
         self.signal("-TERM");
     }
 
+    /// Sends SIGKILL.
+    pub fn kill(&self) {
+        self.signal("-KILL");
+    }
+
     /// Replaces the configuration file and sends SIGHUP.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).unwrap();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -190,6 +190,20 @@
     assert_eq!(tried.len(), 4);
 }
 
+/// Guards against running a request again whose response is too long to be forwarded: the next one would be as long.
+#[test]
+fn request_with_an_undeliverable_response_ends_without_a_retry() {
+    for class in [IDEMPOTENT, NON_IDEMPOTENT, KEYED_ALL] {
+        let mut balancer = TestBalancer::new(settings(), &endpoints_in_zones(3, 4));
+        balancer.warm_up(50);
+        let (tried, end) = balancer.run_attempts(class, |_| AttemptOutcome::Undeliverable);
+        assert_eq!(tried.len(), 1, "class {class}");
+        let is_rejected = matches!(end, Some(Action::Reject { .. }));
+        let is_failed = matches!(end, Some(Action::Fail(_)));
+        assert_eq!((is_rejected, is_failed), (class == IDEMPOTENT, class != IDEMPOTENT), "class {class}");
+    }
+}
+
 #[test]
 fn keyed_request_is_retried_inside_its_group_and_window_only() {
     let mut balancer = TestBalancer::new(settings(), &endpoints_in_zones(3, 4));
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -74,7 +74,7 @@
     ]
 }
 
-const OUTCOMES: [AttemptOutcome; 8] = [
+const OUTCOMES: [AttemptOutcome; 9] = [
     AttemptOutcome::Success,
     AttemptOutcome::Error,
     AttemptOutcome::Rejected,
@@ -83,6 +83,7 @@
     AttemptOutcome::Reset,
     AttemptOutcome::Cancelled,
     AttemptOutcome::NotSent,
+    AttemptOutcome::Undeliverable,
 ];
 
 /// A request of a client. An attempt is given as its endpoint and the time when it was sent.
