Reject a long request that is still arriving when requests are rejected

What callers saw: a client that was sending a long body at SIGTERM was read to its last byte, its request ran, and the kill came before its answer.

`rejecting` was checked once, when the first 64 KiB of the body were buffered. A longer body was received for as long as it lasted, though the time of a request runs from its last byte and no answer could come before the kill.

Change: the wait for the rest of the body ends when requests are rejected. The client gets 503, and the rest of the body is no longer read, so that no upstream receives the last byte and the request never runs.

The test a_long_request_that_is_still_being_received_near_the_kill_is_rejected failed before ("no response before the kill") and passes.

--- a/src/proxy/body/request_body.rs
+++ b/src/proxy/body/request_body.rs
@@ -37,7 +37,8 @@
     pub allowance: Mutex<u64>,
     /// An attempt has started to read the remainder, even if nothing of it has been received yet.
     pub read_started: AtomicBool,
-    /// The body ended early or exceeded the size limit, which is the client's fault.
+    /// The body is not forwarded to its end: it ended early or exceeded the size limit, which is the client's fault, or
+    /// the request was rejected meanwhile.
     pub aborted: AtomicBool,
     /// Notifies the receiver that [`new`](Self::new) returns; `None` once the whole body has been received.
     pub end_sender: Mutex<Option<oneshot::Sender<()>>>,
@@ -56,9 +57,13 @@
         )
     }
 
-    /// Polls the next chunk. The body is marked as aborted if it ends early or exceeds the size limit.
+    /// Polls the next chunk. The body is marked as aborted if it ends early or exceeds the size limit. Once it is
+    /// aborted, no more of it is forwarded.
     pub fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyAborted>>> {
         self.read_started.store(true, Ordering::Relaxed);
+        if self.is_aborted() {
+            return Poll::Ready(Some(Err(BodyAborted)));
+        }
         let mut body = lock(&self.body);
         loop {
             return match Pin::new(&mut *body).poll_frame(cx) {
@@ -89,7 +94,7 @@
         *lock(&self.allowance)
     }
 
-    /// Whether the body ended early or exceeded the size limit.
+    /// Whether the body is not forwarded to its end.
     pub fn is_aborted(&self) -> bool {
         self.aborted.load(Ordering::Relaxed)
     }
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -18,13 +18,13 @@
 use crate::proxy::downstream::client::ClientHandle;
 use crate::proxy::messages::DispatcherMessage;
 use crate::proxy::metrics::Counters;
-use crate::proxy::shutdown_schedule::ShutdownReceiver;
+use crate::proxy::shutdown_schedule::{ShutdownReceiver, wait_for_shutdown};
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64};
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Number of consecutive failures to accept after which a shortage of descriptors or memory counts as persistent. With
 /// the pauses between them, that is after about 0.2 s. Failures are counted rather than timed, as the process itself
@@ -106,6 +106,11 @@
         self.discovery_attempted.clone().wait_for(|discovery_attempted| *discovery_attempted).await.ok();
     }
 
+    /// Waits until requests are rejected.
+    async fn wait_until_rejecting(&self) {
+        sleep_until(wait_for_shutdown(self.shutdown.clone()).await.reject_at).await;
+    }
+
     /// Whether requests are rejected, as they might not be answered before the process is killed.
     fn is_rejecting(&self) -> bool {
         self.shutdown.borrow().is_some_and(|schedule| Instant::now() >= schedule.reject_at)
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -140,8 +140,8 @@
             _request_id_guard: request_id_guard,
             _memory_permit: memory_permit,
         };
-        let (remainder, remainder_received) =
-            if body_complete { (None, None) } else { Some(BodyRemainder::new(body)).unzip() };
+        let incomplete = (!body_complete).then(|| BodyRemainder::new(body));
+        let remainder = incomplete.as_ref().map(|(remainder, _)| remainder.clone());
         let (is_head_request, is_http_1_0) = (head.method == Method::HEAD, head.version < Version::HTTP_11);
         let request = Request::from_parts(head, RequestBody { buffered, remainder });
         let id = RequestId(self.next_request_id.fetch_add(1, Ordering::Relaxed));
@@ -159,9 +159,9 @@
             ClientRequest { id, request, client, class, tenant, work, deadline, response_sender };
         self.dispatcher_sender.send(DispatcherMessage::Request(Box::new(client_request))).ok();
         let disconnected = Err((StatusCode::BAD_REQUEST, "the caller has left\n")); // the client cannot read this
-        let early_response = match remainder_received {
+        let early_response = match incomplete {
             None => None,
-            Some(remainder_received) => tokio::select! {
+            Some((remainder, remainder_received)) => tokio::select! {
                 biased;
                 Ok(()) = remainder_received => {
                     self.dispatcher_sender.send(DispatcherMessage::RequestReceived(id, on_request_received())).ok();
@@ -171,6 +171,11 @@
                 // While an attempt waits for its connection, the body is not read, so that a disconnect would go
                 // unnoticed without this check of the connection.
                 () = connection.wait_for_disconnect_while_receiving() => return disconnected,
+                // The rest of the body stays unread, so that no upstream receives the whole request.
+                () = self.wait_until_rejecting() => {
+                    remainder.abort();
+                    return Ok(self.reject(class));
+                }
             },
         };
         let final_response = match early_response {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,11 +1,12 @@
-//! Long responses around the end of the process: none to a late request is left unfinished when the platform kills the
-//! process.
+//! Long requests and responses around the end of the process: none of them is left unfinished when the platform kills
+//! the process.
 
 mod common;
 
 use common::process::*;
 use common::streams::*;
 use socket2::{Domain, Socket, Type};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
@@ -148,3 +149,31 @@
         assert_eq!((response.status(), &response.body[..]), (200, &b"a start, and the end"[..]));
     });
 }
+
+/// Guards clients that are still sending a long request near the kill: it was read to its last byte and got no
+/// response. It is rejected before that, and no upstream receives all of it.
+#[test]
+fn a_long_request_that_is_still_being_received_near_the_kill_is_rejected() {
+    const SENT_BEFORE_THE_SIGNAL: usize = 100_000;
+    let upstream = Upstream::start(|_| UpstreamAction::NeverRespond);
+    let program = Program::start(&config_with_upstream(&upstream));
+    let mut client = program.connect();
+    let request = request_text("post", "3.0", &"b".repeat(500_000));
+    client.write(&request[..SENT_BEFORE_THE_SIGNAL]);
+    stop_as_platform(&program, |signalled_at| {
+        let mut output = client.input.get_ref().try_clone().unwrap();
+        let writer = std::thread::spawn(move || {
+            for piece in request.as_bytes()[SENT_BEFORE_THE_SIGNAL..].chunks(10_000) {
+                std::thread::sleep(PIECE_PAUSE);
+                if output.write_all(piece).is_err() {
+                    return; // the program has closed the connection
+                }
+            }
+        });
+        let response = client.read_response().expect("no response before the kill");
+        assert_eq!(response.status(), 503);
+        assert!(signalled_at.elapsed() < KILL_DELAY);
+        writer.join().unwrap();
+    });
+    assert_eq!(upstream.take_request_count(), 0, "the upstream has received the whole request");
+}
