End the process only after the responses that it streams

What callers saw: where the platform kills a process later than it may, or not at all, a long response that was still being streamed was cut off by the process itself, 3.3 s after SIGTERM with deadlines of 0.4 s, and 5.4 s with deadlines of 3 s.

Cause: again a time limit that holds only for buffered responses. After the drain, all clients were given the longest deadline to get their responses; the connections still open then were shut down, also those with a streamed response, whose end no deadline bounds. What a balancer has taken and cuts off by its own end is lost.

Change: the process waits until no response is being streamed. The limits on upstreams that are too slow and on clients that do not read still end such a response.

Measured: the test the_process_ends_only_after_the_responses_that_it_streams failed before ("cut off", a response of 6 s) and passes.

--- a/src/proxy/downstream/draining.rs
+++ b/src/proxy/downstream/draining.rs
@@ -64,4 +64,16 @@
             self.client_closed.notified().await;
         }
     }
+    /// Waits until no response is being streamed. Their ends are not bounded by deadlines. Upstreams and clients that
+    /// hold them up are timed out.
+    pub async fn wait_for_streamed_responses(&self) {
+        while self.is_streaming_any_response() {
+            self.client_closed.notified().await;
+        }
+    }
+
+    /// Whether a response is being streamed to any client.
+    fn is_streaming_any_response(&self) -> bool {
+        lock(&self.clients).values().any(|client| lock(&client.connection.framing).is_streaming_response())
+    }
 }
--- a/src/proxy/downstream/request_framing.rs
+++ b/src/proxy/downstream/request_framing.rs
@@ -227,6 +227,11 @@
         self.response_started = true;
     }
 
+    /// Whether a response is being streamed to the client.
+    pub fn is_streaming_response(&self) -> bool {
+        self.response_started && !self.response_finished
+    }
+
     /// The response that is still due when the connection is no longer served. None is due if the client has closed its
     /// sending side, or does not read an earlier response, behind which no other can be written.
     pub fn pending_response(&self) -> PendingResponse {
--- a/src/proxy/downstream/serving.rs
+++ b/src/proxy/downstream/serving.rs
@@ -54,6 +54,7 @@
             server.wait_for_all_closed().await;
         };
         timeout_at(server.last_response_time(schedule), all_answered).await.ok();
+        server.wait_for_streamed_responses().await;
         backlog_task.inspect(JoinHandle::abort);
         timeout_checks.abort();
         crate::proxy::logging::log(format_args!(
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,5 +1,5 @@
 //! Long requests and responses around the end of the process: none of them is left unfinished when the platform kills
-//! the process.
+//! the process, and the process does not cut one off by its own end.
 
 mod common;
 
@@ -177,3 +177,29 @@
     });
     assert_eq!(upstream.take_request_count(), 0, "the upstream has received the whole request");
 }
+
+/// Guards long responses against the end of the process where the platform kills it later: they were cut off once the
+/// longest deadline had passed.
+#[test]
+fn the_process_ends_only_after_the_responses_that_it_streams() {
+    const LENGTH: usize = 600_000;
+    let upstream = Upstream::start(|_| {
+        let pieces =
+            [vec![head_with_length(LENGTH).into_bytes()], vec![vec![b'a'; LENGTH / 60]; 60]].concat();
+        write_paced(pieces, PIECE_PAUSE)
+    });
+    let mut config = config_with_upstream(&upstream);
+    for class in config["settings"]["Classes"].as_array_mut().unwrap() {
+        class["DeadlineNs"] = 400_000_000_u64.into();
+    }
+    let program = Program::start(&config);
+    let mut client = program.connect();
+    client.send("post", "0.4", "body");
+    client.input.get_mut().peek(&mut [0]).expect("the response does not begin");
+    program.terminate();
+    let response = client.read_response().expect("cut off");
+    assert_eq!((response.status(), response.body.len()), (200, LENGTH));
+    assert!(client.read_response().is_none(), "the connection is closed");
+    let (status, log) = program.wait_for_exit();
+    assert!(status.success(), "{log}");
+}
