--- a/src/proxy/downstream/draining.rs
+++ b/src/proxy/downstream/draining.rs
@@ -64,6 +64,7 @@
             self.client_closed.notified().await;
         }
     }
+
     /// Waits until no response is being streamed. Their ends are not bounded by deadlines. Upstreams and clients that
     /// hold them up are timed out.
     pub async fn wait_for_streamed_responses(&self) {
