Share the inheritable listening socket of three test files

The same five lines stood in operators, system_calls and shutdown. The 16 tests of operators and shutdown and the test of the inherited socket pass.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -223,6 +223,14 @@
     address
 }
 
+/// A listening socket on a free port that the programs started later inherit.
+pub fn inheritable_listener() -> Socket {
+    let (socket, _) = bound_socket();
+    socket.listen(128).unwrap();
+    socket.set_cloexec(false).unwrap();
+    socket
+}
+
 /// A socket bound to a free port that does not listen yet.
 fn bound_socket() -> (Socket, SocketAddr) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -5,9 +5,9 @@
 use common::operator::*;
 use common::process::*;
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
+use socket2::Socket;
 use std::io::Read;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -167,11 +167,7 @@
 
 impl Platform {
     fn new(name: &str) -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        socket.listen(128).unwrap();
-        socket.set_cloexec(false).unwrap();
-        Self { socket, folder: shared_folder(name) }
+        Self { socket: inheritable_listener(), folder: shared_folder(name) }
     }
 
     fn start(&self, config: &Value) -> Program {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -5,9 +5,7 @@
 
 use common::process::*;
 use common::streams::*;
-use socket2::{Domain, Socket, Type};
 use std::io::Write;
-use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 
@@ -73,15 +71,6 @@
     std::thread::sleep(time.saturating_duration_since(Instant::now()));
 }
 
-/// A listening socket that is inherited by the program, as when its process is replaced.
-fn inherited_socket() -> Socket {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    socket.listen(128).unwrap();
-    socket.set_cloexec(false).unwrap();
-    socket
-}
-
 /// Guards clients that send on open connections more than 0.7 s after SIGTERM: a long response, whose end no deadline
 /// bounds, was begun for them and cut off by the kill. Short responses are still served.
 #[test]
@@ -97,7 +86,7 @@
 
 fn check_late_long_response(class: &str, status: u16, inherited: bool) {
     let upstream = upstream_with(long_response);
-    let socket = inherited.then(inherited_socket);
+    let socket = inherited.then(inheritable_listener);
     let environment: Vec<_> =
         socket.iter().map(|socket| ("LB_LISTEN_FD", socket.as_raw_fd().to_string())).collect();
     let program = Program::start_with(&config_with_upstream(&upstream), &environment);
--- a/tests/system_calls.rs
+++ b/tests/system_calls.rs
@@ -5,7 +5,6 @@
 use common::fault_injector::Faults;
 use common::operator::*;
 use common::process::*;
-use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -403,10 +402,7 @@
 /// Guards a handover where the inherited socket temporarily cannot be registered with epoll.
 #[test]
 fn a_new_process_takes_an_inherited_socket_over_after_failures() {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    socket.listen(128).unwrap();
-    socket.set_cloexec(false).unwrap();
+    let socket = inheritable_listener();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
     let upstream = closing_upstream();
     let faults = Faults::new(format!("epoll_ctl:ENOSPC:count=3:port={}", address.port()));
