Keep the buffer for discarded bytes out of the tasks of client connections

Cause: the buffer of 8 KiB lived across a wait, so that the task of each client connection was 8,960 bytes large, whether or not it ever discarded anything.

Change: the buffer lives only within one read.

--- a/src/proxy/downstream/closing.rs
+++ b/src/proxy/downstream/closing.rs
@@ -106,8 +106,9 @@
     /// Reads the rest of the answered request and waits for the client's FIN. Pipelined bytes behind that request are
     /// left unread, so that the reset tells the client that they were not processed.
     async fn discard_until_closed(&self, mut outstanding: u64) {
-        let mut buffer = [0; DISCARD_BUFFER_SIZE];
         while outstanding > 0 && self.tcp.readable().await.is_ok() {
+            // Not kept across the wait, as each connection's task would be larger by its size.
+            let mut buffer = [0; DISCARD_BUFFER_SIZE];
             let max_length = usize::try_from(outstanding).unwrap_or(usize::MAX).min(DISCARD_BUFFER_SIZE);
             match self.tcp.try_read(&mut buffer[..max_length]) {
                 Ok(0) => return,
