Reserve the memory of connections, streams and buffers in one budget

Beside long responses, short requests with a body got 503.

Change: MemoryBudget owns the memory, with a reservation for each connection, stream and buffer, released in Drop. A buffer holds its reservation for as long as its bytes are used. The start of a body is released when its rest is read, and is short while memory is scarce. WriteBackpressure holds the next piece back until the socket has taken the previous ones.

--- a/src/proxy/body/request_body.rs
+++ b/src/proxy/body/request_body.rs
@@ -1,6 +1,7 @@
-//! The body of a request: the buffered start, which can be sent again, and the streamed remainder, which can be sent
-//! only once.
+//! The body of a request. A body that is buffered as a whole can be sent again. Of a longer one, the start is buffered,
+//! until an attempt begins to read the remainder, which can be sent only once.
 
+use crate::proxy::body::write_backpressure::WriteBackpressure;
 use crate::proxy::body::{BodyAborted, MAX_BODY};
 use crate::proxy::sync::lock;
 use bytes::Bytes;
@@ -8,15 +9,15 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::sync::oneshot;
 
-/// A request's body: the buffered start and the streamed remainder.
+/// A request's body, as it is sent on each attempt.
 #[derive(Clone, Default)]
 pub struct RequestBody {
-    /// The buffered start, which can be sent again.
+    /// The whole body; empty if `remainder` has its start.
     pub buffered: Bytes,
-    /// The remainder, which can be sent only once; `None` if the whole body is buffered.
+    /// The start and the remainder of a body that is not buffered as a whole; `None` for any other.
     pub remainder: Option<Arc<BodyRemainder>>,
 }
 
@@ -27,8 +28,10 @@
     }
 }
 
-/// The part of a request's body after the buffered start.
+/// A request's body that is not buffered as a whole.
 pub struct BodyRemainder {
+    /// The buffered start; empty once an attempt has started to read the remainder, as the body cannot be sent again.
+    pub start: Mutex<Bytes>,
     /// The body as hyper receives it, without the buffered start.
     pub body: Mutex<Incoming>,
     /// Length of the remainder in bytes, if known.
@@ -45,14 +48,23 @@
 }
 
 impl BodyRemainder {
-    /// Creates the remainder of a body, and the receiver that is notified when all of it has been received.
-    pub fn new(body: Incoming) -> (Arc<Self>, oneshot::Receiver<()>) {
+    /// Creates a body from its buffered start and its remainder, and the receiver that is notified when all of it has
+    /// been received.
+    pub fn new(start: Bytes, body: Incoming) -> (Arc<Self>, oneshot::Receiver<()>) {
         let (sender, end_receiver) = oneshot::channel();
         let (length, end_sender) = (body.size_hint().exact(), Mutex::new(Some(sender)));
         let allowance = Mutex::new(MAX_BODY);
         let (read_started, aborted) = Default::default();
         (
-            Arc::new(Self { body: Mutex::new(body), length, allowance, read_started, aborted, end_sender }),
+            Arc::new(Self {
+                start: Mutex::new(start),
+                body: Mutex::new(body),
+                length,
+                allowance,
+                read_started,
+                aborted,
+                end_sender,
+            }),
             end_receiver,
         )
     }
@@ -60,7 +72,9 @@
     /// Polls the next chunk. The body is marked as aborted if it ends early or exceeds the size limit. Once it is
     /// aborted, no more of it is forwarded.
     pub fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyAborted>>> {
-        self.read_started.store(true, Ordering::Relaxed);
+        if !self.read_started.swap(true, Ordering::Relaxed) {
+            drop(std::mem::take(&mut *lock(&self.start)));
+        }
         if self.is_aborted() {
             return Poll::Ready(Some(Err(BodyAborted)));
         }
@@ -126,14 +140,17 @@
     pub remainder: Option<Arc<BodyRemainder>>,
     /// Length of the whole body in bytes, if known.
     pub length: Option<u64>,
+    /// Holds the next piece of the remainder back while the upstream does not read.
+    pub backpressure: Arc<WriteBackpressure>,
     /// Called when hyper has taken the last part.
     pub on_body_end: F,
 }
 
 impl<F: Fn()> UpstreamRequestBody<F> {
     /// Creates the body for one attempt. `on_body_end` is called at once if the body is empty.
-    pub fn new(body: RequestBody, on_body_end: F) -> Self {
-        let buffered = Some(body.buffered).filter(|buffered| !buffered.is_empty());
+    pub fn new(body: RequestBody, backpressure: Arc<WriteBackpressure>, on_body_end: F) -> Self {
+        let start = body.remainder.as_ref().map(|remainder| lock(&remainder.start).clone());
+        let buffered = Some(start.unwrap_or(body.buffered)).filter(|buffered| !buffered.is_empty());
         let buffered_length = buffered.as_ref().map_or(0, Bytes::len) as u64;
         let remainder_length = body.remainder.as_ref().map_or(Some(0), |remainder| remainder.length);
         if buffered.is_none() && body.remainder.is_none() {
@@ -143,6 +160,7 @@
             buffered,
             remainder: body.remainder,
             length: remainder_length.map(|remainder_length| remainder_length + buffered_length),
+            backpressure,
             on_body_end,
         }
     }
@@ -156,6 +174,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        ready!(self.backpressure.poll_ready(cx));
         let data = match (self.buffered.take(), &self.remainder) {
             (Some(buffered), _) => Some(Ok(buffered)),
             (None, Some(remainder)) => match remainder.poll(cx) {
@@ -168,7 +187,7 @@
         if is_last && !matches!(data, Some(Err(_))) {
             (self.on_body_end)();
         }
-        Poll::Ready(data.map(|data| data.map(Frame::data)))
+        Poll::Ready(data.map(|data| data.map(|piece| Frame::data(self.backpressure.hand_over(piece)))))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/proxy/body/response_body.rs
+++ b/src/proxy/body/response_body.rs
@@ -2,6 +2,7 @@
 
 use crate::proxy::body::BodyAborted;
 use crate::proxy::body::memory::MemoryPermit;
+use crate::proxy::body::write_backpressure::WriteBackpressure;
 use crate::proxy::minimum_rate::MinimumRate;
 use crate::proxy::upstream::connection::Connection;
 use crate::proxy::upstream::exchange::AttemptResult;
@@ -9,7 +10,8 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use tokio::time::Instant;
 
 /// The body of a response to a client: fully buffered, or streamed as it is received.
@@ -23,6 +25,8 @@
     pub kept_until_end: Option<Box<dyn Send>>,
     /// Called if the streamed part is aborted before its end.
     pub on_abort: Option<Box<dyn FnOnce() + Send>>,
+    /// Holds the next piece of the streamed part back while the client does not read; `None` if it is not limited.
+    pub backpressure: Option<Arc<WriteBackpressure>>,
 }
 
 /// The part of a response body that is forwarded while it is received.
@@ -35,8 +39,8 @@
     pub rate: MinimumRate,
     /// Called once, when the attempt ends; `None` after that.
     pub on_end: Option<AttemptEndCallback>,
-    /// The memory reserved for the buffered start.
-    pub _memory_permit: Option<MemoryPermit>,
+    /// The memory reserved for the stream.
+    pub _memory_permit: MemoryPermit,
 }
 
 /// Called with the result of the attempt when the streamed response ends.
@@ -56,7 +60,7 @@
         buffered: Bytes,
         body: Incoming,
         connection: Connection,
-        memory_permit: Option<MemoryPermit>,
+        memory_permit: MemoryPermit,
         request_deadline: Option<Instant>,
         on_end: AttemptEndCallback,
     ) -> Self {
@@ -81,6 +85,11 @@
         self.on_abort = Some(Box::new(callback));
     }
 
+    /// Limits how much of the streamed part waits to be written to the client.
+    pub fn limit_waiting_bytes(&mut self, backpressure: Arc<WriteBackpressure>) {
+        self.backpressure = Some(backpressure);
+    }
+
     /// Whether no part of the body is streamed.
     pub fn is_fully_buffered(&self) -> bool {
         self.streamed.is_none()
@@ -149,6 +158,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        if let Some(backpressure) = &self.backpressure {
+            ready!(backpressure.poll_ready(cx));
+        }
         let data = match (self.buffered.take(), &mut self.streamed) {
             (Some(buffered), _) => Poll::Ready(Some(Ok(buffered))),
             (None, Some(streamed)) => streamed.poll(cx),
@@ -159,7 +171,11 @@
         {
             callback();
         }
-        data.map(|data| data.map(|data| data.map(Frame::data)))
+        let hand_over = |piece| match &self.backpressure {
+            Some(backpressure) => backpressure.hand_over(piece),
+            None => piece,
+        };
+        data.map(|data| data.map(|data| data.map(hand_over).map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/proxy/dispatcher/attempts.rs
+++ b/src/proxy/dispatcher/attempts.rs
@@ -161,7 +161,7 @@
             possible_local_failure: Arc::default(),
             begin_by: None,
             attempt_counter,
-            body_memory: self.body_memory.clone(),
+            memory: self.memory.clone(),
             client: None,
             client_deadline: None,
             streaming_condition: None,
--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::config::Config;
 use crate::config::endpoint_listing::Listing;
-use crate::proxy::body::memory::BodyMemory;
+use crate::proxy::body::memory::MemoryBudget;
 use crate::proxy::body::request_body::RequestBody;
 use crate::proxy::clock::Clock;
 use crate::proxy::downstream::connection::ClientLiveness;
@@ -146,7 +146,7 @@
     /// The listed endpoints.
     endpoints: HashMap<EndpointId, Upstream>,
     idle_pool: IdlePool,
-    body_memory: Arc<BodyMemory>,
+    memory: Arc<MemoryBudget>,
     /// The schedule of the shutdown, once a stop is requested.
     shutdown: ShutdownReceiver,
     timers: BinaryHeap<Reverse<(Time, Timer)>>,
@@ -177,15 +177,18 @@
         dispatcher_sender: UnboundedSender<DispatcherMessage>,
         watch_request_sender: UnboundedSender<()>,
         ready_sender: watch::Sender<bool>,
-        (counters, body_memory): (Arc<Counters>, Arc<BodyMemory>),
+        (counters, memory): (Arc<Counters>, Arc<MemoryBudget>),
         shared_folder: Option<(SharedFolder, FolderState)>,
         shutdown: ShutdownReceiver,
     ) -> Result<Self, String> {
         let clock = Clock::new();
         let balancer = LoadBalancer::new(config.settings.clone(), config.seed, clock.now())
             .map_err(|error| format!("settings: {error}"))?;
-        let idle_pool =
-            IdlePool::new(Duration::from_nanos(config.settings.idle_timeout), config.limits.upstreams);
+        let idle_pool = IdlePool::new(
+            Duration::from_nanos(config.settings.idle_timeout),
+            config.limits.upstreams,
+            memory.clone(),
+        );
         let (shared_folder, folder_state) = shared_folder.unzip();
         let mut dispatcher = Self {
             balancer,
@@ -204,7 +207,7 @@
             last_endpoint_id: 0,
             endpoints: HashMap::new(),
             idle_pool,
-            body_memory,
+            memory,
             shutdown,
             timers: BinaryHeap::new(),
             deadline_guards: BTreeSet::new(),
--- a/src/proxy/downstream/admission.rs
+++ b/src/proxy/downstream/admission.rs
@@ -1,6 +1,7 @@
 //! Accepts client connections, and evicts idle ones to make room for them.
 
 use crate::config::MAX_CONNECTIONS_OVER_LIMIT;
+use crate::proxy::body::memory::CLIENT_CONNECTION_BYTES;
 use crate::proxy::downstream::client::ClientHandle;
 use crate::proxy::downstream::client_task::ClientTask;
 use crate::proxy::downstream::connection::SingleRequestStream;
@@ -165,8 +166,9 @@
         });
         let client_id = self.next_client_id.fetch_add(1, Ordering::Relaxed);
         lock(&self.clients).insert(client_id, client.clone());
-        tokio::spawn(
-            ClientTask { server: self.clone(), client_id, client }.serve(stream, graceful_shutdown.clone()),
-        );
+        let memory_permit = self.memory.reserve_connection(CLIENT_CONNECTION_BYTES);
+        let client_task =
+            ClientTask { server: self.clone(), client_id, client, _memory_permit: memory_permit };
+        tokio::spawn(client_task.serve(stream, graceful_shutdown.clone()));
     }
 }
--- a/src/proxy/downstream/client_task.rs
+++ b/src/proxy/downstream/client_task.rs
@@ -1,5 +1,6 @@
 //! The task that serves a client connection.
 
+use crate::proxy::body::memory::MemoryPermit;
 use crate::proxy::body::response_body::ResponseBody;
 use crate::proxy::downstream::DownstreamServer;
 use crate::proxy::downstream::client::ClientHandle;
@@ -34,6 +35,8 @@
     pub client_id: u64,
     /// The connection.
     pub client: Arc<ClientHandle>,
+    /// The memory reserved for the connection.
+    pub _memory_permit: MemoryPermit,
 }
 
 impl Drop for ClientTask {
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -1,5 +1,7 @@
 //! A client's socket: hands hyper one request at a time, and tracks state that hyper does not expose.
 
+use crate::proxy::body::MAX_READ_SIZE;
+use crate::proxy::body::write_backpressure::WriteBackpressure;
 use crate::proxy::downstream::request_framing::{IdleState, MAX_HEAD_SIZE, Phase, RequestFraming};
 use crate::proxy::sync::lock;
 use crate::transient_errors::{SHORTAGE_PAUSE, is_shortage, poll_later};
@@ -22,6 +24,8 @@
     pub(super) tcp: Arc<TcpStream>,
     /// The state of the requests on this connection.
     pub framing: Arc<Mutex<RequestFraming>>,
+    /// The bytes of a streamed response that wait to be written.
+    pub backpressure: Arc<WriteBackpressure>,
 }
 
 impl ClientConnection {
@@ -141,8 +145,11 @@
 impl SingleRequestStream {
     /// Creates the stream for hyper, and the handle for the code outside hyper.
     pub fn new(tcp: TcpStream) -> (Self, ClientConnection) {
-        let connection =
-            ClientConnection { tcp: Arc::new(tcp), framing: Arc::new(Mutex::new(RequestFraming::new())) };
+        let connection = ClientConnection {
+            tcp: Arc::new(tcp),
+            framing: Arc::new(Mutex::new(RequestFraming::new())),
+            backpressure: Arc::default(),
+        };
         (Self(connection.clone()), connection)
     }
 }
@@ -173,12 +180,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let ClientConnection { tcp, framing } = &self.0;
+        let ClientConnection { tcp, framing, .. } = &self.0;
         let mut framing = lock(framing);
         loop {
             let available = framing.deliverable_bytes();
             if available > 0 {
-                framing.deliver(buffer, available);
+                framing.deliver(buffer, available.min(MAX_READ_SIZE));
                 return Poll::Ready(Ok(()));
             }
             if framing.eof_received {
@@ -241,6 +248,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.backpressure.on_flushed();
         Poll::Ready(Ok(()))
     }
 
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -14,7 +14,7 @@
 mod timing;
 
 use crate::config::Config;
-use crate::proxy::body::memory::BodyMemory;
+use crate::proxy::body::memory::MemoryBudget;
 use crate::proxy::downstream::client::ClientHandle;
 use crate::proxy::messages::DispatcherMessage;
 use crate::proxy::metrics::Counters;
@@ -52,8 +52,8 @@
     pub clients: Mutex<HashMap<u64, Arc<ClientHandle>>>,
     /// The ids that clients gave their open requests, the values of X-Call-Id.
     pub open_client_request_ids: Arc<Mutex<HashSet<String>>>,
-    /// The memory limit of buffered bodies.
-    pub body_memory: Arc<BodyMemory>,
+    /// The memory budget that connections, streams and buffered bodies count towards.
+    pub memory: Arc<MemoryBudget>,
     /// Notified when a client connection is closed.
     pub client_closed: Notify,
     /// The process is being replaced or stopped: each connection is closed after its next response.
@@ -81,7 +81,7 @@
         dispatcher_sender: UnboundedSender<DispatcherMessage>,
         signals: ServerSignals,
         counters: Arc<Counters>,
-        body_memory: Arc<BodyMemory>,
+        memory: Arc<MemoryBudget>,
     ) -> Self {
         Self {
             config,
@@ -94,7 +94,7 @@
             next_client_id: AtomicU64::new(0),
             clients: Mutex::default(),
             open_client_request_ids: Arc::default(),
-            body_memory,
+            memory,
             client_closed: Notify::new(),
             draining: AtomicBool::new(false),
             shutting_down: AtomicBool::new(false),
--- a/src/proxy/downstream/request_framing.rs
+++ b/src/proxy/downstream/request_framing.rs
@@ -298,8 +298,10 @@
     pub fn read(&mut self, tcp: &TcpStream) -> io::Result<()> {
         let free_space = MAX_READ_AHEAD.saturating_sub(self.read_buffer.len());
         let received = if free_space > 0 {
-            self.read_buffer.reserve(free_space.min(MAX_HEAD_SIZE / 2));
-            tcp.try_read_buf(&mut self.read_buffer)?
+            self.read_buffer.reserve(free_space.min(self.read_size()));
+            let read = tcp.try_read_buf(&mut self.read_buffer);
+            self.release_empty_buffer();
+            read?
         } else {
             self.pipelined_bytes_dropped = true;
             tcp.try_read(&mut [0; MAX_HEAD_SIZE])?
@@ -308,6 +310,21 @@
         Ok(())
     }
 
+    /// Number of bytes to make room for before a read: a head is mostly short, and a body is read in larger pieces.
+    fn read_size(&self) -> usize {
+        match self.phase {
+            Phase::Head | Phase::Complete => MAX_HEAD_SIZE / 2,
+            Phase::Delivering(_) | Phase::Unbounded => MAX_HEAD_SIZE,
+        }
+    }
+
+    /// Frees the read buffer if it is empty, so that idle connections and waiting streams do not keep one each.
+    fn release_empty_buffer(&mut self) {
+        if self.read_buffer.is_empty() {
+            self.read_buffer = BytesMut::new();
+        }
+    }
+
     /// Appends bytes to the read buffer that were read from the socket and follow the current request. Bytes beyond
     /// `MAX_READ_AHEAD` are dropped.
     pub fn append_pipelined(&mut self, bytes: &[u8]) {
@@ -392,6 +409,7 @@
         let bytes = max_bytes.min(buffer.remaining());
         buffer.put_slice(&self.read_buffer[..bytes]);
         self.read_buffer.advance(bytes);
+        self.release_empty_buffer();
         self.delivered_bytes += bytes as u64;
         while self.recent_reads.len() > 1 && self.recent_reads[0].0 < self.delivered_bytes {
             self.recent_reads.pop_front();
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -3,7 +3,7 @@
 use crate::proxy::body::buffer::{BufferedBody, buffer_body};
 use crate::proxy::body::request_body::{BodyRemainder, RequestBody};
 use crate::proxy::body::response_body::ResponseBody;
-use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY};
+use crate::proxy::body::{MAX_BODY, MAX_MEMORY_WAIT, max_buffered_start};
 use crate::proxy::downstream::DownstreamServer;
 use crate::proxy::downstream::connection::ClientConnection;
 use crate::proxy::downstream::guards::{CancelOnDrop, RequestGuard, RequestIdGuard};
@@ -106,13 +106,6 @@
         if size_hint.lower() > MAX_BODY {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"));
         }
-        let exact_size = size_hint.exact().and_then(|size| usize::try_from(size).ok());
-        let Some(memory_permit) = self
-            .body_memory
-            .try_reserve(exact_size.map_or(MAX_BUFFERED_BODY, |size| size.min(MAX_BUFFERED_BODY)))
-        else {
-            return Ok(self.reject(parameters.class));
-        };
         let Some(request_id_guard) =
             RequestIdGuard::try_reserve(&self.open_client_request_ids, parameters.client_request_id)
         else {
@@ -120,13 +113,24 @@
             return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
         };
         let (mut head, mut body) = request.into_parts();
-        let (buffered, body_complete) =
-            match timeout(REQUEST_READ_TIMEOUT, buffer_body(&mut body, MAX_BUFFERED_BODY, None)).await {
-                Ok(Ok(BufferedBody { buffered, complete })) => (buffered, complete || body.is_end_stream()),
-                Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
-                Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
-            };
+        let max_buffered = max_buffered_start(size_hint.lower(), &self.memory);
+        let buffered_body = buffer_body(&mut body, max_buffered, None, &self.memory);
+        let (buffered, body_complete) = match timeout(REQUEST_READ_TIMEOUT, buffered_body).await {
+            Ok(Ok(BufferedBody { buffered, complete })) => (buffered, complete || body.is_end_stream()),
+            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
+        };
         let provisional_deadline = Instant::now() + parameters.budget;
+        let memory_permit = match body_complete {
+            true => None,
+            false => {
+                let memory_deadline = Instant::now() + MAX_MEMORY_WAIT.min(parameters.budget / 2);
+                let Some(memory_permit) = self.memory.reserve_stream(memory_deadline).await else {
+                    return Ok(self.reject(parameters.class));
+                };
+                Some(memory_permit)
+            }
+        };
         // The body is buffered before this wait, so that the budget already runs during the wait.
         let is_discovery_attempted =
             timeout(parameters.budget, self.wait_for_discovery_attempt()).await.is_ok();
@@ -140,7 +144,10 @@
             _request_id_guard: request_id_guard,
             _memory_permit: memory_permit,
         };
-        let incomplete = (!body_complete).then(|| BodyRemainder::new(body));
+        let (buffered, incomplete) = match body_complete {
+            true => (buffered, None),
+            false => (Bytes::new(), Some(BodyRemainder::new(buffered, body))),
+        };
         let remainder = incomplete.as_ref().map(|(remainder, _)| remainder.clone());
         let (is_head_request, is_http_1_0) = (head.method == Method::HEAD, head.version < Version::HTTP_11);
         let request = Request::from_parts(head, RequestBody { buffered, remainder });
@@ -198,6 +205,7 @@
                 content_length
                     .map(|content_length| response.headers_mut().insert(CONTENT_LENGTH, content_length));
                 if !response.body().is_fully_buffered() {
+                    response.body_mut().limit_waiting_bytes(connection.backpressure.clone());
                     guard.framing = Some(framing.clone());
                     // HTTP/1.0 has no chunked encoding: the end of the connection ends the body, so that only an RST
                     // can show the client that the body was aborted.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -42,8 +42,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-/// Buffered bodies may use the memory limit divided by this.
-const BODY_MEMORY_DIVISOR: usize = 4;
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -146,8 +144,8 @@
         .uses_shared_folder()
         .then(|| open_shared_folder(&config, dispatcher_sender.clone()))
         .transpose()?;
-    let body_memory = body::memory::BodyMemory::new(config.limits.memory / BODY_MEMORY_DIVISOR);
-    let counters_and_memory = (counters.clone(), body_memory.clone());
+    let memory = body::memory::MemoryBudget::new(config.limits.memory);
+    let counters_and_memory = (counters.clone(), memory.clone());
     let dispatcher = dispatcher::Dispatcher::new(
         config.clone(),
         dispatcher_sender.clone(),
@@ -176,7 +174,7 @@
         discovery_attempted: discovery_attempted_receiver,
         shutdown: shutdown_receiver,
     };
-    let server = DownstreamServer::new(config.clone(), dispatcher_sender, signals, counters, body_memory);
+    let server = DownstreamServer::new(config.clone(), dispatcher_sender, signals, counters, memory);
     let mut server_task = tokio::spawn(server.run(listener));
 
     // While the last clients are served, SIGHUP may still change discovery's address, and another SIGTERM or SIGINT
--- a/src/proxy/upstream/connection.rs
+++ b/src/proxy/upstream/connection.rs
@@ -1,11 +1,15 @@
 //! A connection to an upstream, and the write progress of the request on it.
 
+use crate::proxy::body::MAX_READ_SIZE;
+use crate::proxy::body::memory::MemoryBudget;
 use crate::proxy::body::request_body::UpstreamRequestBody;
+use crate::proxy::body::write_backpressure::WriteBackpressure;
 use crate::proxy::downstream::connection::poll_io;
 use crate::proxy::send_check::SendCheck;
 use crate::proxy::sync::lock;
 use crate::proxy::upstream::connect::{ConnectDeadline, ConnectError, connect};
 use crate::proxy::upstream::permit::ConnectionPermit;
+use bytes::BufMut;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -26,7 +30,7 @@
 /// An HTTP/1.1 connection to an upstream, closed on drop.
 pub struct Connection {
     /// Hands requests to hyper.
-    pub sender: SendRequest<UpstreamRequestBody<BodyEndCallback>>,
+    pub sender: SendRequest<Box<UpstreamRequestBody<BodyEndCallback>>>,
     /// The socket, for checks outside hyper.
     pub tcp: Arc<TcpStream>,
     /// The progress of the current request, which the socket updates.
@@ -44,9 +48,10 @@
         permit: ConnectionPermit,
         connect_deadline: ConnectDeadline<'_>,
     ) -> Result<Self, ConnectError> {
-        let tcp = connect(address, connect_deadline, &permit.0.reachability).await?;
+        let tcp = connect(address, connect_deadline, &permit.shared.reachability).await?;
         let (tcp, progress) = (Arc::new(tcp), Arc::new(WriteProgress::default()));
-        let socket = UpstreamSocket { tcp: tcp.clone(), progress: progress.clone() };
+        let memory = permit.shared.memory.clone();
+        let socket = UpstreamSocket { tcp: tcp.clone(), progress: progress.clone(), memory };
         let builder = &mut Builder::new();
         let builder = builder.max_buf_size(READ_BUFFER_SIZE);
         let handshake = builder.handshake(TokioIo::new(socket)).await;
@@ -87,6 +92,8 @@
     pub request_written: AtomicBool,
     /// The counter that is incremented when the request is written completely; `None` afterwards and for a load query.
     pub attempt_counter: Mutex<Option<Arc<AtomicU64>>>,
+    /// The bytes of the request's body that wait to be written.
+    pub backpressure: Arc<WriteBackpressure>,
     /// Checks whether each write of the request is still allowed; `None` once the request is written completely.
     pub send_check: Mutex<Option<SendCheck>>,
 }
@@ -130,6 +137,8 @@
 pub struct UpstreamSocket {
     pub tcp: Arc<TcpStream>,
     pub progress: Arc<WriteProgress>,
+    /// Tells whether memory is scarce, so that responses are read in smaller pieces.
+    pub memory: Arc<MemoryBudget>,
 }
 
 impl AsyncRead for UpstreamSocket {
@@ -138,11 +147,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let unfilled = buffer.initialize_unfilled();
-        let received =
-            ready!(poll_io(cx, &self.tcp, TcpStream::poll_read_ready, |tcp| tcp.try_read(unfilled)))?;
-        buffer.advance(received);
-        Poll::Ready(Ok(()))
+        let max_length = if self.memory.is_scarce() { MAX_READ_SIZE } else { buffer.remaining() };
+        let read = |tcp: &TcpStream| tcp.try_read_buf(&mut buffer.limit(max_length));
+        poll_io(cx, &self.tcp, TcpStream::poll_read_ready, read).map_ok(drop)
     }
 }
 
@@ -171,6 +178,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.progress.backpressure.on_flushed();
         Poll::Ready(Ok(()))
     }
 
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -6,9 +6,9 @@
 //! module receives.
 
 use crate::proxy::body::buffer::{BufferedBody, buffer_body};
-use crate::proxy::body::memory::{BodyMemory, MemoryPermit};
+use crate::proxy::body::memory::{MemoryBudget, MemoryPermit};
 use crate::proxy::body::request_body::{RequestBody, UpstreamRequestBody};
-use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY};
+use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY, MAX_MEMORY_WAIT, max_buffered_start};
 use crate::proxy::downstream::connection::ClientLiveness;
 use crate::proxy::send_check::{NotSentReason, SendCheck, SendConditions, format_seconds};
 use crate::proxy::shutdown_schedule::StreamingCondition;
@@ -65,8 +65,8 @@
     pub body: Incoming,
     /// The connection that the response is received on.
     pub connection: Connection,
-    /// The memory reserved for the buffered start; `None` if the limit was reached.
-    pub memory_permit: Option<MemoryPermit>,
+    /// The memory reserved for the stream.
+    pub memory_permit: MemoryPermit,
 }
 
 impl StartedResponse {
@@ -101,8 +101,8 @@
     pub begin_by: Option<Instant>,
     /// Counts the attempts whose request was written completely; `None` for a load query.
     pub attempt_counter: Option<Arc<AtomicU64>>,
-    /// The memory limit that the buffered part of the response counts towards.
-    pub body_memory: Arc<BodyMemory>,
+    /// The memory budget that the response counts towards.
+    pub memory: Arc<MemoryBudget>,
     /// The client that sent the request; `None` for a load query.
     pub client: Option<ClientLiveness>,
     /// When the client stops waiting, as known when its request was accepted; `None` for a load query.
@@ -191,11 +191,12 @@
             false => AttemptOutcome::ConnectFailed.into(),
         }
     };
-    let request = request.map(|body| UpstreamRequestBody::new(body, on_body_end));
+    let backpressure = progress.backpressure.clone();
+    let request = request.map(|body| Box::new(UpstreamRequestBody::new(body, backpressure, on_body_end)));
     let Ok(response) = connection.sender.send_request(request).await else {
         return on_connection_error();
     };
-    connection.permit.0.reachability.record_contact(context.address);
+    connection.permit.shared.reachability.record_contact(context.address);
     let (head, mut body) = response.into_parts();
     let is_rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
     let outcome = match head.status {
@@ -214,15 +215,15 @@
     let may_stream = context.streaming_condition.as_ref().is_none_or(StreamingCondition::holds);
     let size = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
     if !may_stream && size.is_some_and(|size| size > MAX_BUFFERED_BODY) {
-        return undeliverable_outcome(outcome).into();
+        return undeliverable_outcome(outcome, "the process might end before it").into();
     }
     let bufferable_size = size.filter(|size| *size <= MAX_BUFFERED_BODY);
-    let memory_permit = context.body_memory.try_reserve(bufferable_size.unwrap_or(MAX_BUFFERED_BODY));
     // A response of unknown length may be small but slow. After this time, the client receives it as a stream.
     let buffering_deadline =
         (may_stream && bufferable_size.is_none()).then(|| Instant::now() + MAX_BUFFERING_TIME);
-    let max_buffered = if memory_permit.is_some() { MAX_BUFFERED_BODY } else { 0 };
-    let (buffered, complete) = match buffer_body(&mut body, max_buffered, buffering_deadline).await {
+    let max_buffered = max_buffered_start(body.size_hint().lower(), &context.memory);
+    let buffered_body = buffer_body(&mut body, max_buffered, buffering_deadline, &context.memory).await;
+    let (buffered, complete) = match buffered_body {
         Ok(BufferedBody { buffered, complete }) => (buffered, complete || body.is_end_stream()),
         Err(_) => return on_connection_error(),
     };
@@ -231,26 +232,27 @@
         let connection = connection.into_reusable().await;
         return ExchangeOutcome::Ended(AttemptResult { outcome, response: Some(head), connection });
     }
-    match outcome {
-        AttemptOutcome::Success | AttemptOutcome::InvalidRequest if may_stream => {
-            ExchangeOutcome::ResponseStarted(Box::new(StartedResponse {
-                head,
-                body,
-                connection,
-                memory_permit,
-            }))
+    if !may_stream || !matches!(outcome, AttemptOutcome::Success | AttemptOutcome::InvalidRequest) {
+        // An error response is not streamed to the client.
+        return undeliverable_outcome(outcome, "the process might end before it").into();
+    }
+    let time_left = context.attempt_deadline.saturating_duration_since(Instant::now());
+    let memory_deadline = Instant::now() + MAX_MEMORY_WAIT.min(time_left / 2);
+    match context.memory.reserve_stream(memory_deadline).await {
+        Some(memory_permit) => {
+            let started = StartedResponse { head, body, connection, memory_permit };
+            ExchangeOutcome::ResponseStarted(Box::new(started))
         }
-        outcome => undeliverable_outcome(outcome).into(), // an error response is not streamed to the client
+        None => undeliverable_outcome(outcome, "its stream does not fit into the memory limit").into(),
     }
 }
 
-/// The outcome of an exchange whose response, which has this outcome, is not forwarded because of its length.
-fn undeliverable_outcome(outcome: AttemptOutcome) -> AttemptOutcome {
+/// The outcome of an exchange whose response, which has this outcome, is not forwarded because of its length, for this
+/// reason.
+fn undeliverable_outcome(outcome: AttemptOutcome, reason: &str) -> AttemptOutcome {
     match outcome {
         AttemptOutcome::Success | AttemptOutcome::InvalidRequest => {
-            crate::proxy::logging::log(format_args!(
-                "a long response is not forwarded, as the process might end before it"
-            ));
+            crate::proxy::logging::log(format_args!("a long response is not forwarded, as {reason}"));
             AttemptOutcome::Undeliverable
         }
         outcome => outcome,
--- a/src/proxy/upstream/pool.rs
+++ b/src/proxy/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! The pool of idle upstream connections, and the limit on the number of open connections.
 
+use crate::proxy::body::memory::MemoryBudget;
 use crate::proxy::upstream::connection::Connection;
 use crate::proxy::upstream::permit::{ConnectionPermit, SharedConnectionState};
 use balancer::decision::EndpointId;
@@ -33,10 +34,10 @@
 
 impl IdlePool {
     /// Creates a pool for upstreams that close idle connections after `idle_timeout`. At most `max_open` connections
-    /// are open, idle or not.
-    pub fn new(idle_timeout: Duration, max_open: usize) -> Self {
+    /// are open, idle or not, and count towards `memory`.
+    pub fn new(idle_timeout: Duration, max_open: usize, memory: Arc<MemoryBudget>) -> Self {
         let max_idle_time = idle_timeout - IDLE_MARGIN.min(idle_timeout / 2);
-        Self { max_idle_time, max_open, shared: Arc::default(), idle: HashMap::new() }
+        Self { max_idle_time, max_open, shared: SharedConnectionState::new(memory), idle: HashMap::new() }
     }
 
     /// Changes the maximum number of open connections. While it is exceeded, closes the connections idle for longest.
--- a/src/proxy/upstream/tests.rs
+++ b/src/proxy/upstream/tests.rs
@@ -2,9 +2,9 @@
 
 use super::connection::*;
 use super::exchange::{AttemptResult, ExchangeContext, ExchangeOutcome, exchange};
-use super::permit::ConnectionPermit;
+use super::permit::{ConnectionPermit, SharedConnectionState};
 use super::pool::ConnectionSource;
-use crate::proxy::body::memory::BodyMemory;
+use crate::proxy::body::memory::MemoryBudget;
 use crate::proxy::body::request_body::RequestBody;
 use crate::proxy::downstream::connection::ClientLiveness;
 use crate::proxy::downstream::connection::{ClientConnection, SingleRequestStream};
@@ -21,6 +21,16 @@
 use tokio::net::TcpStream;
 use tokio::time::{Duration, Instant};
 
+/// The budget of a process with 32 MB.
+fn memory() -> Arc<MemoryBudget> {
+    MemoryBudget::new(32 << 20)
+}
+
+/// A permit for a new connection.
+fn permit() -> ConnectionPermit {
+    ConnectionPermit::acquire(&SharedConnectionState::new(memory()))
+}
+
 /// The context of an exchange that has no client and 30 s to end.
 fn context(address: SocketAddr, connection_source: ConnectionSource) -> ExchangeContext {
     ExchangeContext {
@@ -32,7 +42,7 @@
         possible_local_failure: Arc::default(),
         begin_by: None,
         attempt_counter: None,
-        body_memory: BodyMemory::new(1 << 20),
+        memory: memory(),
         client: None,
         client_deadline: None,
         streaming_condition: None,
@@ -55,7 +65,7 @@
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
         stream
     });
-    let context = context(address, ConnectionSource::New(ConnectionPermit::acquire(&Arc::default())));
+    let context = context(address, ConnectionSource::New(permit()));
     let ExchangeOutcome::Ended(result) = exchange(Request::new(RequestBody::default()), context).await else {
         panic!("the response is not complete");
     };
@@ -92,10 +102,7 @@
         client_deadline: Some(deadline),
         attempt_deadline: deadline,
         write_started: write_started.clone(),
-        ..context(
-            listener.local_addr().unwrap(),
-            ConnectionSource::New(ConnectionPermit::acquire(&Arc::default())),
-        )
+        ..context(listener.local_addr().unwrap(), ConnectionSource::New(permit()))
     };
     let exchange_task = tokio::spawn(exchange(Request::new(RequestBody::default()), context));
     tokio::spawn(async move { action() }); // runs after the exchange task and before the connection task
@@ -186,7 +193,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let progress = Arc::new(WriteProgress::default());
-    let mut socket = UpstreamSocket { tcp: Arc::new(tcp), progress: progress.clone() };
+    let mut socket = UpstreamSocket { tcp: Arc::new(tcp), progress: progress.clone(), memory: memory() };
     let is_written = || progress.request_written.load(Ordering::Relaxed);
     socket.write_all(b"head").await.unwrap();
     assert!(!is_written(), "the body is not written yet");
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -509,9 +509,18 @@
 
     /// Resident memory of the process, in KiB.
     pub fn resident_kib(&self) -> u64 {
+        self.memory_kib("VmRSS")
+    }
+
+    /// Private memory of the process, in KiB: without its program text, and without memory of the kernel.
+    pub fn private_kib(&self) -> u64 {
+        self.memory_kib("RssAnon")
+    }
+
+    /// A figure of `/proc/PID/status`, in KiB.
+    fn memory_kib(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line =
-            status.lines().find(|line| line.starts_with("VmRSS")).expect("no VmRSS in /proc/PID/status");
+        let line = status.lines().find(|line| line.starts_with(name)).expect("no such figure of memory");
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
