Close idle connections where streams wait for memory, and let long starts leave room

Change: while a stream waits, connections without a request are closed. Memory is scarce from a quarter of the budget or of the buffers on; a long response then begins without a buffered start. The two directions of a stream have a cost of their own: a response costs less than was reserved.

--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -12,20 +12,41 @@
 /// the allocator holds beyond what is allocated.
 const PROCESS_BYTES: usize = 4 << 20;
 /// Memory of a client connection, in bytes: its task, hyper's buffers for heads, and the head of its request.
-pub const CLIENT_CONNECTION_BYTES: usize = 22 << 10;
+pub const CLIENT_CONNECTION_BYTES: usize = 20 << 10;
 /// Memory of a connection to an upstream, in bytes: its task, its request channel, and hyper's buffers for heads.
-pub const UPSTREAM_CONNECTION_BYTES: usize = 24 << 10;
-/// Memory of a stream beyond that of its two connections, in bytes: the pieces of the body that are on their way, and
-/// the task of the attempt.
-pub const STREAM_BYTES: usize = 24 << 10;
+pub const UPSTREAM_CONNECTION_BYTES: usize = 20 << 10;
+/// Memory of a streamed response beyond that of its two connections, in bytes: the pieces that are on their way.
+const RESPONSE_STREAM_BYTES: usize = 16 << 10;
+/// Memory of a streamed request beyond that of its two connections, in bytes: the pieces that are on their way, the task
+/// of the attempt, and the buffer that the response is waited for with.
+const REQUEST_STREAM_BYTES: usize = 28 << 10;
 /// Buffered bodies may use the memory limit divided by this.
 const BUFFER_SHARE_DIVISOR: usize = 4;
 /// Connections and streams leave the memory limit divided by this to the buffers of short requests.
 const SHORT_REQUEST_SHARE_DIVISOR: usize = 8;
 
-/// Memory counts as scarce once the reservations exceed their maximum divided by this.
+/// Memory counts as scarce once all reservations, or those for buffered bodies, exceed their maximum divided by this.
 const SCARCITY_DIVISOR: usize = 4;
 
+/// A stream, by what it forwards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// The body of a request.
+    Request,
+    /// The body of a response.
+    Response,
+}
+
+impl Stream {
+    /// The memory that the stream takes, in bytes.
+    fn bytes(self) -> usize {
+        match self {
+            Self::Request => REQUEST_STREAM_BYTES,
+            Self::Response => RESPONSE_STREAM_BYTES,
+        }
+    }
+}
+
 /// What memory is reserved for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
@@ -54,6 +75,8 @@
     max_buffers: usize,
     /// Notified when memory is released.
     released: Notify,
+    /// Notified when a stream has to wait for memory.
+    shortage: Notify,
 }
 
 impl MemoryBudget {
@@ -66,6 +89,7 @@
             max_streams: max_total.saturating_sub(memory_limit / SHORT_REQUEST_SHARE_DIVISOR),
             max_buffers: memory_limit / BUFFER_SHARE_DIVISOR,
             released: Notify::new(),
+            shortage: Notify::new(),
         })
     }
 
@@ -81,31 +105,35 @@
     }
 
     /// Reserves the memory of a stream, or returns `None` if it does not fit.
-    pub fn try_reserve_stream(self: &Arc<Self>) -> Option<MemoryPermit> {
-        let purpose = Purpose::Stream;
-        self.try_add(purpose, STREAM_BYTES).then(|| MemoryPermit {
-            budget: self.clone(),
-            purpose,
-            bytes: STREAM_BYTES,
-        })
+    pub fn try_reserve_stream(self: &Arc<Self>, stream: Stream) -> Option<MemoryPermit> {
+        let (purpose, bytes) = (Purpose::Stream, stream.bytes());
+        self.try_add(purpose, bytes).then(|| MemoryPermit { budget: self.clone(), purpose, bytes })
     }
 
     /// Reserves the memory of a stream, and waits for it until `deadline` if it does not fit. Streams that wait are
     /// served in order.
-    pub async fn reserve_stream(self: &Arc<Self>, deadline: Instant) -> Option<MemoryPermit> {
+    pub async fn reserve_stream(self: &Arc<Self>, stream: Stream, deadline: Instant) -> Option<MemoryPermit> {
         loop {
-            if let Some(permit) = self.try_reserve_stream() {
+            if let Some(permit) = self.try_reserve_stream(stream) {
                 self.released.notify_one(); // the released memory may be enough for another stream
                 return Some(permit);
             }
+            self.shortage.notify_one();
             timeout_at(deadline, self.released.notified()).await.ok()?;
         }
     }
 
+    /// Waits until a stream has to wait for memory. Closing idle connections releases some.
+    pub async fn wait_for_shortage(&self) {
+        self.shortage.notified().await;
+    }
+
     /// Whether bodies that are known to be long are to use little memory, as many of them may follow: a short start, which
     /// makes a retry less likely, and small pieces, which take more processor time.
     pub fn is_scarce(&self) -> bool {
-        lock(&self.reserved).total > self.max_total / SCARCITY_DIVISOR
+        let reserved = lock(&self.reserved);
+        reserved.total > self.max_total / SCARCITY_DIVISOR
+            || reserved.buffers > self.max_buffers / SCARCITY_DIVISOR
     }
 
     /// Reserves more bytes for a purpose, and returns whether they fit.
--- a/src/proxy/body/mod.rs
+++ b/src/proxy/body/mod.rs
@@ -7,7 +7,6 @@
 pub mod response_body;
 pub mod write_backpressure;
 
-use crate::proxy::body::memory::MemoryBudget;
 use std::fmt;
 use std::time::Duration;
 
@@ -15,9 +14,9 @@
 /// response is known before the client receives any of it. The latency of a longer response is that of its first bytes.
 pub const MAX_BUFFERED_BODY: usize = 64 << 10;
 
-/// How much of a body is buffered before it is forwarded, in bytes, if the body is known to be longer than
-/// [`MAX_BUFFERED_BODY`] and memory is scarce.
-const SCARCE_MEMORY_START: usize = 4 << 10;
+/// How much of a request's body is buffered before the request is dispatched, in bytes, if the body is known to be longer
+/// than [`MAX_BUFFERED_BODY`] and memory is scarce. Nothing of such a response is buffered.
+pub const SCARCE_MEMORY_START: usize = 4 << 10;
 
 /// How long a stream waits at most until it fits into the memory budget.
 pub const MAX_MEMORY_WAIT: Duration = Duration::from_secs(1);
@@ -30,13 +29,6 @@
 /// request's remainder after the buffered start.
 pub const MAX_BODY: u64 = 34 << 20;
 
-/// How much of a body is buffered at most before it is forwarded, in bytes. `min_length` is the length of the body, as far
-/// as it is known.
-pub fn max_buffered_start(min_length: u64, memory: &MemoryBudget) -> usize {
-    let is_long = min_length > MAX_BUFFERED_BODY as u64;
-    if is_long && memory.is_scarce() { SCARCE_MEMORY_START } else { MAX_BUFFERED_BODY }
-}
-
 /// A streamed body was not forwarded to its end. A request body ended early or exceeded [`MAX_BODY`]; a response body
 /// ended early or was too slow.
 #[derive(Debug)]
--- a/src/proxy/downstream/admission.rs
+++ b/src/proxy/downstream/admission.rs
@@ -14,6 +14,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
@@ -22,6 +23,17 @@
 /// this. Once they exceed that share, they are evicted before those between requests.
 pub const UNSERVED_SHARE_DIVISOR: usize = 2;
 
+/// Number of idle clients that are evicted at once for lack of memory. Each makes room for about one stream.
+const MAX_EVICTIONS_AT_ONCE: usize = 16;
+/// Minimum time between two such evictions.
+const MEMORY_RELIEF_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Whether a client connection in this state may be closed because descriptors or memory are short: no request on it can
+/// be on the way, or its client sends that request again.
+fn is_evicted_in_shortage(state: IdleState) -> bool {
+    matches!(state, IdleState::BetweenRequests | IdleState::UnknownClassOnly | IdleState::Lingering)
+}
+
 /// A series of consecutive failures to accept a connection.
 #[derive(Default)]
 pub struct AcceptFailures {
@@ -81,13 +93,20 @@
         }
         self.dispatcher_sender.send(DispatcherMessage::ResourceShortage).ok();
         let is_persistent = accept_failures.failures >= PERSISTENT_SHORTAGE_FAILURES;
-        self.evict_idle_where(|state, _| {
-            is_persistent
-                || matches!(
-                    state,
-                    IdleState::BetweenRequests | IdleState::UnknownClassOnly | IdleState::Lingering
-                )
-        });
+        self.evict_idle_where(|state, _| is_persistent || is_evicted_in_shortage(state));
+    }
+
+    /// Closes idle connections while streams wait for memory. Those to upstreams are opened again at need. A client with a new connection or a partial request may have a request on the way, and keeps
+    /// its connection.
+    pub async fn relieve_memory_shortages(self: Arc<Self>) {
+        loop {
+            self.memory.wait_for_shortage().await;
+            self.dispatcher_sender.send(DispatcherMessage::ResourceShortage).ok();
+            for _ in 0..MAX_EVICTIONS_AT_ONCE {
+                self.evict_idle_where(|state, _| is_evicted_in_shortage(state));
+            }
+            sleep(MEMORY_RELIEF_INTERVAL).await;
+        }
     }
 
     /// Waits until one more connection may be accepted. The wait is short: requests on connections over the limit are
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -1,9 +1,10 @@
 //! Reads and validates requests, hands them to the dispatcher, and turns its results into responses.
 
 use crate::proxy::body::buffer::{BufferedBody, buffer_body};
+use crate::proxy::body::memory::Stream;
 use crate::proxy::body::request_body::{BodyRemainder, RequestBody};
 use crate::proxy::body::response_body::ResponseBody;
-use crate::proxy::body::{MAX_BODY, MAX_MEMORY_WAIT, max_buffered_start};
+use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY, MAX_MEMORY_WAIT, SCARCE_MEMORY_START};
 use crate::proxy::downstream::DownstreamServer;
 use crate::proxy::downstream::connection::ClientConnection;
 use crate::proxy::downstream::guards::{CancelOnDrop, RequestGuard, RequestIdGuard};
@@ -113,7 +114,9 @@
             return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
         };
         let (mut head, mut body) = request.into_parts();
-        let max_buffered = max_buffered_start(size_hint.lower(), &self.memory);
+        let is_long = size_hint.lower() > MAX_BUFFERED_BODY as u64;
+        let max_buffered =
+            if is_long && self.memory.is_scarce() { SCARCE_MEMORY_START } else { MAX_BUFFERED_BODY };
         let buffered_body = buffer_body(&mut body, max_buffered, None, &self.memory);
         let (buffered, body_complete) = match timeout(REQUEST_READ_TIMEOUT, buffered_body).await {
             Ok(Ok(BufferedBody { buffered, complete })) => (buffered, complete || body.is_end_stream()),
@@ -125,7 +128,8 @@
             true => None,
             false => {
                 let memory_deadline = Instant::now() + MAX_MEMORY_WAIT.min(parameters.budget / 2);
-                let Some(memory_permit) = self.memory.reserve_stream(memory_deadline).await else {
+                let Some(memory_permit) = self.memory.reserve_stream(Stream::Request, memory_deadline).await
+                else {
                     return Ok(self.reject(parameters.class));
                 };
                 Some(memory_permit)
--- a/src/proxy/downstream/serving.rs
+++ b/src/proxy/downstream/serving.rs
@@ -17,6 +17,7 @@
     pub async fn run(self, listener: TcpListener) {
         let server = Arc::new(self);
         let timeout_checks = tokio::spawn(server.clone().run_timeout_checks());
+        let memory_relief = tokio::spawn(server.clone().relieve_memory_shortages());
         let (graceful_shutdown_sender, graceful_shutdown) = watch::channel(false);
         let shares_listener = server.config.listen_fd.is_some();
         let stop_accepting = async {
@@ -57,6 +58,7 @@
         server.wait_for_streamed_responses().await;
         backlog_task.inspect(JoinHandle::abort);
         timeout_checks.abort();
+        memory_relief.abort();
         crate::proxy::logging::log(format_args!(
             "stopping with {} open client connections",
             server.client_count()
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -6,9 +6,9 @@
 //! module receives.
 
 use crate::proxy::body::buffer::{BufferedBody, buffer_body};
-use crate::proxy::body::memory::{MemoryBudget, MemoryPermit};
+use crate::proxy::body::memory::{MemoryBudget, MemoryPermit, Stream};
 use crate::proxy::body::request_body::{RequestBody, UpstreamRequestBody};
-use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY, MAX_MEMORY_WAIT, max_buffered_start};
+use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY, MAX_MEMORY_WAIT};
 use crate::proxy::downstream::connection::ClientLiveness;
 use crate::proxy::send_check::{NotSentReason, SendCheck, SendConditions, format_seconds};
 use crate::proxy::shutdown_schedule::StreamingCondition;
@@ -221,11 +221,14 @@
     // A response of unknown length may be small but slow. After this time, the client receives it as a stream.
     let buffering_deadline =
         (may_stream && bufferable_size.is_none()).then(|| Instant::now() + MAX_BUFFERING_TIME);
-    let max_buffered = max_buffered_start(body.size_hint().lower(), &context.memory);
-    let buffered_body = buffer_body(&mut body, max_buffered, buffering_deadline, &context.memory).await;
-    let (buffered, complete) = match buffered_body {
-        Ok(BufferedBody { buffered, complete }) => (buffered, complete || body.is_end_stream()),
-        Err(_) => return on_connection_error(),
+    let is_long = body.size_hint().lower() > MAX_BUFFERED_BODY as u64;
+    let (buffered, complete) = if is_long && context.memory.is_scarce() {
+        (Bytes::new(), false)
+    } else {
+        match buffer_body(&mut body, MAX_BUFFERED_BODY, buffering_deadline, &context.memory).await {
+            Ok(BufferedBody { buffered, complete }) => (buffered, complete || body.is_end_stream()),
+            Err(_) => return on_connection_error(),
+        }
     };
     let head = Response::from_parts(head, buffered);
     if complete {
@@ -238,7 +241,7 @@
     }
     let time_left = context.attempt_deadline.saturating_duration_since(Instant::now());
     let memory_deadline = Instant::now() + MAX_MEMORY_WAIT.min(time_left / 2);
-    match context.memory.reserve_stream(memory_deadline).await {
+    match context.memory.reserve_stream(Stream::Response, memory_deadline).await {
         Some(memory_permit) => {
             let started = StartedResponse { head, body, connection, memory_permit };
             ExchangeOutcome::ResponseStarted(Box::new(started))
--- a/tests/stream_memory.rs
+++ b/tests/stream_memory.rs
@@ -166,11 +166,19 @@
     short_served: usize,
     /// The highest private memory of the process, in KiB.
     peak_kib: u64,
+    /// The log of the process.
+    log: String,
 }
 
 /// Sends as many long requests as clients may hold descriptors for: this many in a hundred of them with a long body,
-/// the others for a long response. Checks that short requests are served beside them.
-fn run_streams(memory_mb: u64, sockets: usize, bodies_in_hundred: usize) -> RunResult {
+/// the others for a long response. Sends short requests beside them. Other clients keep their connections after a first
+/// request.
+fn run_streams(
+    memory_mb: u64,
+    sockets: usize,
+    bodies_in_hundred: usize,
+    idle_connections: usize,
+) -> RunResult {
     let upstreams: Vec<SlowUpstream> = (0..UPSTREAMS).map(|_| SlowUpstream::start()).collect();
     let targets: Vec<String> = upstreams
         .iter()
@@ -181,6 +189,13 @@
     config["limits"]["memory_mb"] = memory_mb.into();
     config["limits"]["sockets"] = sockets.into();
     let program = Program::start(&config);
+    let _idle_clients: Vec<Client> = (0..idle_connections)
+        .map(|_| {
+            let mut client = program.connect();
+            assert_eq!(client.request("look", LONG_BUDGET, "").expect("no response").status(), 200);
+            client
+        })
+        .collect();
     let requests = sockets / 3 - 8; // some descriptors are left for the short requests
     let mut clients: Vec<SlowClient> = Vec::new();
     let (mut peak_kib, mut short_requests, mut short_served) = (0, 0, 0);
@@ -206,18 +221,27 @@
     let with_status = |status| clients.iter().filter(|client| client.status() == Some(status)).count();
     let bodies: usize = upstreams.iter().map(|upstream| upstream.bodies.load(Ordering::Relaxed)).sum();
     let streamed = with_status(200) + bodies;
-    RunResult { streamed, rejected: with_status(503), short_requests, short_served, peak_kib }
+    let rejected = with_status(503);
+    program.kill();
+    let (_, log) = program.wait_for_exit();
+    RunResult { streamed, rejected, short_requests, short_served, peak_kib, log }
 }
 
 /// Checks that nine in ten of the long requests are streamed, within the memory limit.
-fn check_streams(memory_mb: u64, sockets: usize) {
+fn check_streams(memory_mb: u64, sockets: usize, idle_connections: usize) {
     for bodies_in_hundred in [0, 38, 100] {
         let requests = sockets / 3 - 8;
-        let result = run_streams(memory_mb, sockets, bodies_in_hundred);
+        let result = run_streams(memory_mb, sockets, bodies_in_hundred, idle_connections);
         let description = format!(
             "{memory_mb} MB, {sockets} descriptors, {bodies_in_hundred} in 100 with a long body: {} of {requests} \
-             streamed, {} rejected; {} of {} short requests served; at most {} KiB",
-            result.streamed, result.rejected, result.short_served, result.short_requests, result.peak_kib
+             streamed, {} rejected; {} of {} short requests served; at most {} KiB; \
+             log:\n{}",
+            result.streamed,
+            result.rejected,
+            result.short_served,
+            result.short_requests,
+            result.peak_kib,
+            result.log
         );
         println!("{description}");
         assert!(result.peak_kib <= memory_mb << 10, "{description}");
@@ -229,5 +253,11 @@
 /// Guards against a kill for memory: the streams' buffers exceeded `memory_mb`, and bodies were rejected meanwhile.
 #[test]
 fn long_bodies_and_responses_fit_into_the_least_memory() {
-    check_streams(32, 1024);
+    check_streams(32, 1024, 0);
+}
+
+/// Guards against streams that are rejected for lack of memory while connections without a request keep some.
+#[test]
+fn idle_connections_are_closed_where_streams_need_their_memory() {
+    check_streams(32, 1024, 300);
 }
