Halve the memory budget while another process of the balancer shares the limit

Cause, found by reading: while one process replaces another, both count as one balancer with one memory_mb, and each used its full share of it.

Change: the dispatcher tells the budget when the processes overlap, as it tells the pool of upstream connections. Unit tests of the budget: streams leave room for short requests, released memory can be reserved again, two processes fit into one limit, and a stream waits for memory, but not beyond its deadline.

No run of two processes at their memory limit was made.

--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -55,24 +55,39 @@
     Buffer,
 }
 
-/// The bytes reserved at present.
-#[derive(Default)]
-struct ReservedBytes {
-    /// All reservations.
+/// The bytes reserved at present, and their limits.
+struct Reservations {
+    /// Bytes of all reservations.
     total: usize,
-    /// Those for buffered bodies.
+    /// Bytes reserved for buffered bodies.
     buffers: usize,
+    limits: BudgetLimits,
+}
+
+/// BudgetLimits on the bytes of reservations.
+struct BudgetLimits {
+    /// Maximum for all reservations together.
+    total: usize,
+    /// Maximum for connections and streams with which another stream may begin.
+    streams: usize,
+    /// Maximum for buffered bodies.
+    buffers: usize,
+}
+
+impl BudgetLimits {
+    /// The limits of a process that may use this many bytes.
+    fn new(memory: usize) -> Self {
+        let total = memory.saturating_sub(PROCESS_BYTES);
+        let streams = total.saturating_sub(memory / SHORT_REQUEST_SHARE_DIVISOR);
+        Self { total, streams, buffers: memory / BUFFER_SHARE_DIVISOR }
+    }
 }
 
 /// The memory budget of the process.
 pub struct MemoryBudget {
-    reserved: Mutex<ReservedBytes>,
-    /// Maximum number of bytes of all reservations.
-    max_total: usize,
-    /// Maximum number of bytes of connections and streams with which another stream may begin.
-    max_streams: usize,
-    /// Maximum number of bytes of the reservations for buffered bodies.
-    max_buffers: usize,
+    /// The memory limit in bytes, which two processes share while one replaces the other.
+    memory_limit: usize,
+    reservations: Mutex<Reservations>,
     /// Notified when memory is released.
     released: Notify,
     /// Notified when a stream has to wait for memory.
@@ -82,20 +97,25 @@
 impl MemoryBudget {
     /// Creates the budget of a process with this memory limit in bytes.
     pub fn new(memory_limit: usize) -> Arc<Self> {
-        let max_total = memory_limit.saturating_sub(PROCESS_BYTES);
+        let reservations = Reservations { total: 0, buffers: 0, limits: BudgetLimits::new(memory_limit) };
         Arc::new(Self {
-            reserved: Mutex::default(),
-            max_total,
-            max_streams: max_total.saturating_sub(memory_limit / SHORT_REQUEST_SHARE_DIVISOR),
-            max_buffers: memory_limit / BUFFER_SHARE_DIVISOR,
+            memory_limit,
+            reservations: Mutex::new(reservations),
             released: Notify::new(),
             shortage: Notify::new(),
         })
     }
 
+    /// Sets whether another process of this balancer shares the memory limit. Each of the two may use half of it.
+    pub fn set_shared(&self, shared: bool) {
+        let memory = if shared { self.memory_limit / 2 } else { self.memory_limit };
+        lock(&self.reservations).limits = BudgetLimits::new(memory);
+        self.released.notify_one();
+    }
+
     /// Reserves the memory of a connection. Cannot fail, as the number of connections has a limit of its own.
     pub fn reserve_connection(self: &Arc<Self>, bytes: usize) -> MemoryPermit {
-        lock(&self.reserved).total += bytes;
+        lock(&self.reservations).total += bytes;
         MemoryPermit { budget: self.clone(), purpose: Purpose::Connection, bytes }
     }
 
@@ -131,33 +151,34 @@
     /// Whether bodies that are known to be long are to use little memory, as many of them may follow: a short start, which
     /// makes a retry less likely, and small pieces, which take more processor time.
     pub fn is_scarce(&self) -> bool {
-        let reserved = lock(&self.reserved);
-        reserved.total > self.max_total / SCARCITY_DIVISOR
-            || reserved.buffers > self.max_buffers / SCARCITY_DIVISOR
+        let reservations = lock(&self.reservations);
+        let limits = &reservations.limits;
+        reservations.total > limits.total / SCARCITY_DIVISOR
+            || reservations.buffers > limits.buffers / SCARCITY_DIVISOR
     }
 
     /// Reserves more bytes for a purpose, and returns whether they fit.
     fn try_add(&self, purpose: Purpose, bytes: usize) -> bool {
-        let mut reserved = lock(&self.reserved);
-        let fits = match purpose {
-            Purpose::Connection => true,
-            Purpose::Stream => {
-                let buffers = reserved.buffers;
-                reserved.total + bytes <= self.max_total
-                    && reserved.total - buffers + bytes <= self.max_streams
-            }
-            Purpose::Buffer => {
-                reserved.total + bytes <= self.max_total && reserved.buffers + bytes <= self.max_buffers
-            }
-        };
+        let mut reservations = lock(&self.reservations);
+        let fits = reservations.fits(purpose, bytes);
         if fits {
-            reserved.add(purpose, bytes);
+            reservations.add(purpose, bytes);
         }
         fits
     }
 }
 
-impl ReservedBytes {
+impl Reservations {
+    /// Whether more bytes may be reserved for a purpose.
+    fn fits(&self, purpose: Purpose, bytes: usize) -> bool {
+        let fits_total = self.total + bytes <= self.limits.total;
+        match purpose {
+            Purpose::Connection => true,
+            Purpose::Stream => fits_total && self.total - self.buffers + bytes <= self.limits.streams,
+            Purpose::Buffer => fits_total && self.buffers + bytes <= self.limits.buffers,
+        }
+    }
+
     fn add(&mut self, purpose: Purpose, bytes: usize) {
         self.total += bytes;
         if purpose == Purpose::Buffer {
@@ -192,14 +213,17 @@
 
     /// Reserves more bytes that are already allocated, whether or not they fit.
     pub fn grow(&mut self, bytes: usize) {
-        lock(&self.budget.reserved).add(self.purpose, bytes);
+        lock(&self.budget.reservations).add(self.purpose, bytes);
         self.bytes += bytes;
     }
 }
 
 impl Drop for MemoryPermit {
     fn drop(&mut self) {
-        lock(&self.budget.reserved).remove(self.purpose, self.bytes);
+        lock(&self.budget.reservations).remove(self.purpose, self.bytes);
         self.budget.released.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/proxy/body/memory/tests.rs
@@ -0,0 +1,79 @@
+//! Tests of the memory budget.
+
+use super::*;
+use tokio::time::Duration;
+
+/// The least memory that the platform grants, in bytes.
+const MEMORY: usize = 32 << 20;
+
+/// Reserves streams until no more fit.
+fn fill_with_streams(budget: &Arc<MemoryBudget>, stream: Stream) -> Vec<MemoryPermit> {
+    std::iter::from_fn(|| budget.try_reserve_stream(stream)).collect()
+}
+
+/// Guards short requests against streams that use up all memory.
+#[test]
+fn streams_leave_memory_for_the_buffers_of_short_requests() {
+    let budget = MemoryBudget::new(MEMORY);
+    let streams = fill_with_streams(&budget, Stream::Response);
+    assert!(!streams.is_empty());
+    let mut buffer = budget.buffer_permit();
+    assert!(buffer.try_grow(MEMORY / SHORT_REQUEST_SHARE_DIVISOR - RESPONSE_STREAM_BYTES));
+    assert!(!buffer.try_grow(MEMORY));
+}
+
+/// Guards against a limit that shrinks with each reservation that is not released.
+#[test]
+fn released_memory_can_be_reserved_again() {
+    let budget = MemoryBudget::new(MEMORY);
+    for stream in [Stream::Request, Stream::Response] {
+        let first_count = fill_with_streams(&budget, stream).len();
+        let connection = budget.reserve_connection(REQUEST_STREAM_BYTES);
+        assert!(fill_with_streams(&budget, stream).len() < first_count);
+        drop(connection);
+        assert_eq!(fill_with_streams(&budget, stream).len(), first_count);
+    }
+    assert_eq!(lock(&budget.reservations).total, 0);
+}
+
+/// Guards against a kill for memory while one process replaces another: the two have one limit.
+#[test]
+fn two_processes_share_the_memory() {
+    let budget = MemoryBudget::new(MEMORY);
+    let alone = fill_with_streams(&budget, Stream::Response).len() * RESPONSE_STREAM_BYTES;
+    budget.set_shared(true);
+    let shared = fill_with_streams(&budget, Stream::Response).len() * RESPONSE_STREAM_BYTES;
+    assert!(2 * (shared + PROCESS_BYTES) <= MEMORY, "{shared} of {alone} bytes");
+    budget.set_shared(false);
+    assert_eq!(fill_with_streams(&budget, Stream::Response).len() * RESPONSE_STREAM_BYTES, alone);
+}
+
+/// Guards against streams that are rejected although memory is released while they wait.
+#[tokio::test]
+async fn a_stream_waits_for_the_memory_of_another_one() {
+    let budget = MemoryBudget::new(MEMORY);
+    let mut streams = fill_with_streams(&budget, Stream::Response);
+    let deadline = Instant::now() + Duration::from_secs(30);
+    let waiting: Vec<_> = (0..2)
+        .map(|_| {
+            let budget = budget.clone();
+            tokio::spawn(async move { budget.reserve_stream(Stream::Response, deadline).await.is_some() })
+        })
+        .collect();
+    budget.wait_for_shortage().await;
+    assert!(waiting.iter().all(|task| !task.is_finished()));
+    streams.truncate(streams.len() - 2);
+    for task in waiting {
+        assert!(task.await.unwrap());
+    }
+}
+
+/// Guards the time of a final response: a stream does not wait for longer than its request can.
+#[tokio::test]
+async fn a_stream_that_does_not_fit_in_time_gets_no_memory() {
+    let budget = MemoryBudget::new(MEMORY);
+    let _streams = fill_with_streams(&budget, Stream::Response);
+    let deadline = Instant::now() + Duration::from_millis(20);
+    assert!(budget.reserve_stream(Stream::Response, deadline).await.is_none());
+    assert!(Instant::now() >= deadline);
+}
--- a/src/proxy/dispatcher/operators.rs
+++ b/src/proxy/dispatcher/operators.rs
@@ -36,6 +36,7 @@
             // Both processes share the limit on file descriptors.
             let max_connections = self.config.limits.upstreams;
             self.idle_pool.set_max_open(if overlapping { max_connections / 2 } else { max_connections });
+            self.memory.set_shared(overlapping);
             let overlap = if overlapping { "beside another process" } else { "alone" };
             crate::proxy::logging::log(format_args!("this process serves {overlap}"));
             self.overlapping = overlapping;
