Split the reception of a request's start from its dispatch, with a typed failure

Cause: handle_class_request had grown to 150 lines, and returned the responses of the balancer itself as a tuple of a status and a text, or as a success.

Change: receive_start buffers the start of the body and reserves the memory of its stream. RequestFailure names the two kinds of failures. Behaviour is as before.

Measured: the bin tests and the tests of final answers, connection close, sockets and stream memory pass.

--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -1,7 +1,7 @@
 //! Reads and validates requests, hands them to the dispatcher, and turns its results into responses.
 
 use crate::proxy::body::buffer::{BufferedBody, buffer_body};
-use crate::proxy::body::memory::Stream;
+use crate::proxy::body::memory::{MemoryPermit, Stream};
 use crate::proxy::body::request_body::{BodyRemainder, RequestBody};
 use crate::proxy::body::response_body::ResponseBody;
 use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY, MAX_MEMORY_WAIT, SCARCE_MEMORY_START};
@@ -20,6 +20,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode, Version};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -42,6 +43,26 @@
     pub work: Option<u64>,
 }
 
+/// Why a request gets a response from the balancer itself, without an attempt.
+#[derive(Debug)]
+pub enum RequestFailure {
+    /// The request is invalid, or was not received in time: the status and the body of the response.
+    Invalid(StatusCode, &'static str),
+    /// The request of this class is rejected; its client may send it again.
+    Rejected { class: usize },
+}
+
+/// The start of a request's body, and where the rest of it comes from.
+struct ReceivedStart {
+    body: RequestBody,
+    /// The part that is still being received, and the receiver that is notified at its end; `None` if there is none.
+    incomplete: Option<(Arc<BodyRemainder>, oneshot::Receiver<()>)>,
+    /// The memory reserved for streaming that part.
+    memory_permit: Option<MemoryPermit>,
+    /// When the last byte of the start was buffered.
+    buffered_at: Instant,
+}
+
 /// The value of a header, if it is present and visible ASCII.
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
@@ -83,7 +104,8 @@
         }
         match self.handle_class_request(request, connection).await {
             Ok(response) => response,
-            Err((code, message)) => {
+            Err(RequestFailure::Rejected { class }) => self.reject(class),
+            Err(RequestFailure::Invalid(code, message)) => {
                 let mut response = Response::new(ResponseBody::from(Bytes::from_static(message.as_bytes())));
                 *response.status_mut() = code;
                 response
@@ -91,55 +113,40 @@
         }
     }
 
-    /// Validates a request for a class, has it dispatched, and returns the response. An error is the status and the
-    /// body to respond with.
+    /// Validates a request for a class, has it dispatched, and returns the response.
     pub async fn handle_class_request(
         &self,
         request: Request<Incoming>,
         connection: &ClientConnection,
-    ) -> Result<Response<ResponseBody>, (StatusCode, &'static str)> {
+    ) -> Result<Response<ResponseBody>, RequestFailure> {
         let framing = &connection.framing;
         if lock(framing).has_both_lengths() {
-            return Err((StatusCode::BAD_REQUEST, "Content-Length beside Transfer-Encoding\n"));
+            return Err(RequestFailure::Invalid(
+                StatusCode::BAD_REQUEST,
+                "Content-Length beside Transfer-Encoding\n",
+            ));
         }
         let parameters = self.parse_parameters(&request)?;
-        let size_hint = request.body().size_hint();
-        if size_hint.lower() > MAX_BODY {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"));
+        if request.body().size_hint().lower() > MAX_BODY {
+            return Err(RequestFailure::Invalid(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"));
         }
         let Some(request_id_guard) =
             RequestIdGuard::try_reserve(&self.open_client_request_ids, parameters.client_request_id)
         else {
             self.counters.count(parameters.class, RequestOutcome::Failure);
-            return Err((StatusCode::CONFLICT, "a request with this X-Call-Id is open\n"));
-        };
-        let (mut head, mut body) = request.into_parts();
-        let is_long = size_hint.lower() > MAX_BUFFERED_BODY as u64;
-        let max_buffered =
-            if is_long && self.memory.is_scarce() { SCARCE_MEMORY_START } else { MAX_BUFFERED_BODY };
-        let buffered_body = buffer_body(&mut body, max_buffered, None, &self.memory);
-        let (buffered, body_complete) = match timeout(REQUEST_READ_TIMEOUT, buffered_body).await {
-            Ok(Ok(BufferedBody { buffered, complete })) => (buffered, complete || body.is_end_stream()),
-            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body broke off\n")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
-        };
-        let provisional_deadline = Instant::now() + parameters.budget;
-        let memory_permit = match body_complete {
-            true => None,
-            false => {
-                let memory_deadline = Instant::now() + MAX_MEMORY_WAIT.min(parameters.budget / 2);
-                let Some(memory_permit) = self.memory.reserve_stream(Stream::Request, memory_deadline).await
-                else {
-                    return Ok(self.reject(parameters.class));
-                };
-                Some(memory_permit)
-            }
+            return Err(RequestFailure::Invalid(
+                StatusCode::CONFLICT,
+                "a request with this X-Call-Id is open\n",
+            ));
         };
+        let (mut head, body) = request.into_parts();
+        let received_start = self.receive_start(body, parameters.class, parameters.budget).await?;
+        let ReceivedStart { body, incomplete, memory_permit, buffered_at } = received_start;
         // The body is buffered before this wait, so that the budget already runs during the wait.
         let is_discovery_attempted =
             timeout(parameters.budget, self.wait_for_discovery_attempt()).await.is_ok();
         if !is_discovery_attempted || self.is_rejecting() {
-            return Ok(self.reject(parameters.class));
+            return Err(RequestFailure::Rejected { class: parameters.class });
         }
         remove_hop_by_hop_headers(&mut head.headers);
         let mut guard = RequestGuard {
@@ -148,13 +155,8 @@
             _request_id_guard: request_id_guard,
             _memory_permit: memory_permit,
         };
-        let (buffered, incomplete) = match body_complete {
-            true => (buffered, None),
-            false => (Bytes::new(), Some(BodyRemainder::new(buffered, body))),
-        };
-        let remainder = incomplete.as_ref().map(|(remainder, _)| remainder.clone());
         let (is_head_request, is_http_1_0) = (head.method == Method::HEAD, head.version < Version::HTTP_11);
-        let request = Request::from_parts(head, RequestBody { buffered, remainder });
+        let request = Request::from_parts(head, body);
         let id = RequestId(self.next_request_id.fetch_add(1, Ordering::Relaxed));
         let mut cancel_on_drop = CancelOnDrop(Some(id), &self.dispatcher_sender);
         let (response_sender, mut response_receiver) = oneshot::channel();
@@ -164,12 +166,16 @@
             guard._in_flight = Some(self.counters.start_request());
             lock(framing).mark_request_complete() + budget
         };
-        let deadline = if body_complete { on_request_received() } else { provisional_deadline };
+        let deadline = match &incomplete {
+            None => on_request_received(),
+            Some(_) => buffered_at + budget,
+        };
         let client = connection.liveness();
         let client_request =
             ClientRequest { id, request, client, class, tenant, work, deadline, response_sender };
         self.dispatcher_sender.send(DispatcherMessage::Request(Box::new(client_request))).ok();
-        let disconnected = Err((StatusCode::BAD_REQUEST, "the caller has left\n")); // the client cannot read this
+        // The client cannot read this.
+        let disconnected = Err(RequestFailure::Invalid(StatusCode::BAD_REQUEST, "the caller has left\n"));
         let early_response = match incomplete {
             None => None,
             Some((remainder, remainder_received)) => tokio::select! {
@@ -185,7 +191,7 @@
                 // The rest of the body stays unread, so that no upstream receives the whole request.
                 () = self.wait_until_rejecting() => {
                     remainder.abort();
-                    return Ok(self.reject(class));
+                    return Err(RequestFailure::Rejected { class });
                 }
             },
         };
@@ -226,15 +232,50 @@
         })
     }
 
-    /// Parses and validates the parameters of a request. An error is the status and the body to respond with.
-    pub fn parse_parameters(
+    /// Buffers the start of a request's body. If that is not the whole body, reserves the memory for streaming the rest.
+    async fn receive_start(
         &self,
-        request: &Request<Incoming>,
-    ) -> Result<RequestParameters, (StatusCode, &'static str)> {
-        let bad_request = |message| (StatusCode::BAD_REQUEST, message);
+        mut body: Incoming,
+        class: usize,
+        budget: Duration,
+    ) -> Result<ReceivedStart, RequestFailure> {
+        let is_long = body.size_hint().lower() > MAX_BUFFERED_BODY as u64;
+        let max_buffered =
+            if is_long && self.memory.is_scarce() { SCARCE_MEMORY_START } else { MAX_BUFFERED_BODY };
+        let buffered_body = buffer_body(&mut body, max_buffered, None, &self.memory);
+        let (buffered, complete) = match timeout(REQUEST_READ_TIMEOUT, buffered_body).await {
+            Ok(Ok(BufferedBody { buffered, complete })) => (buffered, complete || body.is_end_stream()),
+            Ok(Err(_)) => {
+                return Err(RequestFailure::Invalid(StatusCode::BAD_REQUEST, "the body broke off\n"));
+            }
+            Err(_) => {
+                return Err(RequestFailure::Invalid(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"));
+            }
+        };
+        let buffered_at = Instant::now();
+        if complete {
+            let body = RequestBody { buffered, remainder: None };
+            return Ok(ReceivedStart { body, incomplete: None, memory_permit: None, buffered_at });
+        }
+        let memory_deadline = buffered_at + MAX_MEMORY_WAIT.min(budget / 2);
+        let memory_permit = self.memory.reserve_stream(Stream::Request, memory_deadline).await;
+        let memory_permit = memory_permit.ok_or(RequestFailure::Rejected { class })?;
+        let (remainder, end_receiver) = BodyRemainder::new(buffered, body);
+        Ok(ReceivedStart {
+            body: RequestBody { buffered: Bytes::new(), remainder: Some(remainder.clone()) },
+            incomplete: Some((remainder, end_receiver)),
+            memory_permit: Some(memory_permit),
+            buffered_at,
+        })
+    }
+
+    /// Parses and validates the parameters of a request.
+    pub fn parse_parameters(&self, request: &Request<Incoming>) -> Result<RequestParameters, RequestFailure> {
+        let invalid = RequestFailure::Invalid;
+        let bad_request = |message| invalid(StatusCode::BAD_REQUEST, message);
         let (headers, proxy_settings) = (request.headers(), &self.config.proxy_settings);
         let class_in_path = request.uri().path().split('/').nth(1).unwrap_or("");
-        let class = self.class_of(request).ok_or((StatusCode::NOT_FOUND, "no such path\n"))?;
+        let class = self.class_of(request).ok_or(invalid(StatusCode::NOT_FOUND, "no such path\n"))?;
         if header_text(headers, "x-call-class") != Some(class_in_path) {
             return Err(bad_request("X-Call-Class is missing or not that of the path\n"));
         }
@@ -248,7 +289,7 @@
             Idempotency::Keyed(..) | Idempotency::NonIdempotent => Method::POST,
         };
         if request.method() != method {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
+            return Err(invalid(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
         }
         // The balancer and the upstream might use different values of a duplicate header.
         for name in ["x-call-id", "x-call-class", "x-caller", "x-budget", "x-call-cost", "idempotency-key"] {
