Close idle connections before streams have to wait for memory

Cause: idle connections were closed only once a stream waited.

Change: the shortage is notified once less than a sixteenth of the memory limit is left for streams.

--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Memory is short for further streams if less than the memory limit divided by this is left for them.
+const SHORTAGE_DIVISOR: usize = 16;
+
 /// What memory is reserved for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
@@ -90,7 +93,7 @@
     reservations: Mutex<Reservations>,
     /// Notified when memory is released.
     released: Notify,
-    /// Notified when a stream has to wait for memory.
+    /// Notified when a stream has to wait for memory, or further ones soon will.
     shortage: Notify,
 }
 
@@ -127,6 +130,9 @@
     /// Reserves the memory of a stream, or returns `None` if it does not fit.
     pub fn try_reserve_stream(self: &Arc<Self>, stream: Stream) -> Option<MemoryPermit> {
         let (purpose, bytes) = (Purpose::Stream, stream.bytes());
+        if !lock(&self.reservations).fits(purpose, self.memory_limit / SHORTAGE_DIVISOR) {
+            self.shortage.notify_one();
+        }
         self.try_add(purpose, bytes).then(|| MemoryPermit { budget: self.clone(), purpose, bytes })
     }
 
@@ -138,12 +144,11 @@
                 self.released.notify_one(); // the released memory may be enough for another stream
                 return Some(permit);
             }
-            self.shortage.notify_one();
             timeout_at(deadline, self.released.notified()).await.ok()?;
         }
     }
 
-    /// Waits until a stream has to wait for memory. Closing idle connections releases some.
+    /// Waits until a stream has to wait for memory, or further ones soon will. Closing idle connections releases some.
     pub async fn wait_for_shortage(&self) {
         self.shortage.notified().await;
     }
