Correct comments of the memory budget, and stop evicting when no idle client is left

Cause: a last reading of the change. Two comments were over-long, one had lost its wording in a renaming, two described an earlier form.

Change: the comments, the place of one constant, and a break. What is evicted stays the same.

Measured: format and lints are clean, and the unit tests, the structure test and the test of the memory limit pass.

--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -27,6 +27,8 @@
 
 /// Memory counts as scarce once all reservations, or those for buffered bodies, exceed their maximum divided by this.
 const SCARCITY_DIVISOR: usize = 4;
+/// Memory is short for further streams if less than the memory limit divided by this is left for them.
+const SHORTAGE_DIVISOR: usize = 16;
 
 /// A stream, by what it forwards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,9 +49,6 @@
     }
 }
 
-/// Memory is short for further streams if less than the memory limit divided by this is left for them.
-const SHORTAGE_DIVISOR: usize = 16;
-
 /// What memory is reserved for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
@@ -67,7 +66,7 @@
     limits: BudgetLimits,
 }
 
-/// BudgetLimits on the bytes of reservations.
+/// Limits on the bytes of reservations.
 struct BudgetLimits {
     /// Maximum for all reservations together.
     total: usize,
@@ -136,8 +135,8 @@
         self.try_add(purpose, bytes).then(|| MemoryPermit { budget: self.clone(), purpose, bytes })
     }
 
-    /// Reserves the memory of a stream, and waits for it until `deadline` if it does not fit. Streams that wait are
-    /// served in order.
+    /// Reserves the memory of a stream, and waits for it until `deadline` if it does not fit. Released memory
+    /// wakes the stream that has waited for longest.
     pub async fn reserve_stream(self: &Arc<Self>, stream: Stream, deadline: Instant) -> Option<MemoryPermit> {
         loop {
             if let Some(permit) = self.try_reserve_stream(stream) {
--- a/src/proxy/body/mod.rs
+++ b/src/proxy/body/mod.rs
@@ -21,8 +21,8 @@
 /// How long a stream waits at most until it fits into the memory budget.
 pub const MAX_MEMORY_WAIT: Duration = Duration::from_secs(1);
 
-/// Maximum number of bytes that are read from a socket at once while memory is scarce, and always from a client. hyper enlarges its read buffer when a read has filled it,
-/// so this is one byte less than the buffer's initial size. Otherwise each piece of a body would keep a larger buffer.
+/// Maximum number of bytes that are read from a socket at once while memory is scarce, and always from a client. hyper
+/// enlarges its read buffer when a read has filled it, so this is one byte less than the buffer's initial size. Otherwise each piece of a body would keep a larger buffer.
 pub const MAX_READ_SIZE: usize = (8 << 10) - 1;
 
 /// Largest body of a request or response, in bytes. It limits the declared length of both, and the received length of a
--- a/src/proxy/downstream/admission.rs
+++ b/src/proxy/downstream/admission.rs
@@ -96,14 +96,16 @@
         self.evict_idle_where(|state, _| is_persistent || is_evicted_in_shortage(state));
     }
 
-    /// Closes idle connections while streams wait for memory. Those to upstreams are opened again at need. A client with a new connection or a partial request may have a request on the way, and keeps
-    /// its connection.
+    /// Closes idle connections while memory is short for streams. Those to upstreams are opened again at need. A client
+    /// with a new connection or a partial request may have a request on the way, and keeps its connection.
     pub async fn relieve_memory_shortages(self: Arc<Self>) {
         loop {
             self.memory.wait_for_shortage().await;
             self.dispatcher_sender.send(DispatcherMessage::ResourceShortage).ok();
             for _ in 0..MAX_EVICTIONS_AT_ONCE {
-                self.evict_idle_where(|state, _| is_evicted_in_shortage(state));
+                if !self.evict_idle_where(|state, _| is_evicted_in_shortage(state)) {
+                    break; // no idle client is left
+                }
             }
             sleep(MEMORY_RELIEF_INTERVAL).await;
         }
