--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod chain;
+pub mod crowd;
 pub mod fault_injector;
 pub mod fleet;
 pub mod operator;
@@ -27,6 +28,12 @@
 /// Index of the class with idempotency keys that the endpoints of a cell share.
 pub const KEYED_CELL: usize = 4;
 
+/// Joins all threads before it fails if one of them has panicked, so that each of them ends the programs it started.
+pub fn join_all(threads: impl IntoIterator<Item = std::thread::JoinHandle<()>>) {
+    let results: Vec<_> = threads.into_iter().map(std::thread::JoinHandle::join).collect();
+    assert!(results.iter().all(Result::is_ok), "a thread has panicked");
+}
+
 /// Settings of a balancer in zone 0 of three, without tenants and load queries.
 pub fn settings() -> Settings {
     let class = |idempotency, priority_weight| RequestClass {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -517,6 +518,11 @@
         self.memory_kib("RssAnon")
     }
 
+    /// The highest resident memory of the process so far, in KiB.
+    pub fn peak_resident_kib(&self) -> u64 {
+        self.memory_kib("VmHWM")
+    }
+
     /// A figure of `/proc/PID/status`, in KiB.
     fn memory_kib(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -531,6 +537,23 @@
         (self.child.wait().unwrap(), log)
     }
 
+    /// Fills the pipe of the log, which nobody reads.
+    pub fn fill_log_pipe(&self) {
+        const O_NONBLOCK: i32 = 0o4000;
+        let path = format!("/proc/{}/fd/2", self.child.id());
+        let mut pipe = std::fs::OpenOptions::new().write(true).custom_flags(O_NONBLOCK).open(path).unwrap();
+        while pipe.write(b"filler\n").is_ok() {}
+    }
+
+    /// Waits until the process exits, without reading its log.
+    pub fn wait_for_exit_unread(&mut self) {
+        let started = std::time::Instant::now();
+        while self.child.try_wait().unwrap().is_none() {
+            assert!(started.elapsed() < TEST_TIMEOUT, "the program does not exit");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Opens a client connection.
     pub fn connect(&self) -> Client {
         self.try_connect().expect("the program accepts no connection")
--- a/tests/common/streams.rs
+++ b/tests/common/streams.rs
@@ -1,8 +1,8 @@
 //! Response bodies as stand-in upstreams write them: complete, slow, or without an end.
 
 use super::process::UpstreamAction;
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -87,3 +87,74 @@
         *self.0.lock().unwrap() = Duration::ZERO;
     }
 }
+
+/// An upstream that reads each request's body to its end. It writes a long response to a request with the header
+/// `X-Long`, as fast as the connection takes it, and a short one to any other.
+pub struct LongResponses {
+    pub address: SocketAddr,
+}
+
+impl LongResponses {
+    /// Length of a long response, in bytes.
+    const LENGTH: usize = 16 << 20;
+
+    /// Listens on a free port until the test ends.
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                std::thread::Builder::new()
+                    .stack_size(128 << 10)
+                    .spawn(move || Self::serve(&stream))
+                    .unwrap();
+            }
+        });
+        Self { address }
+    }
+
+    /// Serves the requests of one connection until it is closed.
+    fn serve(stream: &TcpStream) -> Option<()> {
+        let mut output = stream.try_clone().ok()?;
+        let mut input = BufReader::with_capacity(8 << 10, stream);
+        let piece = vec![b'x'; 16 << 10];
+        loop {
+            let (mut is_long, mut body_length, mut is_chunked) = (false, 0, false);
+            let mut line = String::new();
+            while input.read_line(&mut line).ok()? > 2 {
+                let field = line.to_lowercase();
+                is_long |= field.starts_with("x-long:");
+                is_chunked |= field.starts_with("transfer-encoding:");
+                if let Some(length) = field.strip_prefix("content-length:") {
+                    body_length = length.trim().parse().ok()?;
+                }
+                line.clear();
+            }
+            if line.is_empty() {
+                return None; // the connection is closed
+            }
+            if is_chunked {
+                skip_chunks(&mut input)?;
+            }
+            std::io::copy(&mut (&mut input).take(body_length), &mut std::io::sink()).ok()?;
+            let length = if is_long { Self::LENGTH } else { 2 };
+            output.write_all(head_with_length(length).as_bytes()).ok()?;
+            for _ in 0..length.div_ceil(piece.len()) {
+                output.write_all(&piece[..length.min(piece.len())]).ok()?;
+            }
+        }
+    }
+}
+
+/// Reads a chunked body to its end, and discards it.
+fn skip_chunks(input: &mut impl BufRead) -> Option<()> {
+    loop {
+        let mut line = String::new();
+        input.read_line(&mut line).ok()?;
+        let size = u64::from_str_radix(line.trim(), 16).ok()?;
+        std::io::copy(&mut (&mut *input).take(size + 2), &mut std::io::sink()).ok()?;
+        if size == 0 {
+            return Some(());
+        }
+    }
+}
--- a/tests/final_answers.rs
+++ b/tests/final_answers.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::join_all;
 use common::process::*;
 use common::streams::*;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -196,6 +197,40 @@
     assert_complete_response(&upstream, &body, &max_delay);
 }
 
+/// Guards a long response that pauses across the deadline of its request: it was cut off 0.37 s later.
+#[test]
+fn a_long_response_in_uneven_lumps_arrives_whole() {
+    let cases = [(66_000, 135_332), (108_801, 135_332), (90_000, 300_000)];
+    let pauses = [900, 1500, 1900, 4000].map(Duration::from_millis);
+    let mut threads = Vec::new();
+    for (first_length, length) in cases {
+        for pause in pauses {
+            for is_chunked in [false, true] {
+                threads.push(std::thread::spawn(move || {
+                    let body = vec![b'a'; length];
+                    let (first, rest) = body.split_at(first_length);
+                    let pieces = match is_chunked {
+                        false => vec![[head_with_length(length).as_bytes(), first].concat(), rest.to_vec()],
+                        true => vec![
+                            [CHUNKED_HEAD.as_bytes(), &chunk(first)].concat(),
+                            [chunk(rest), b"0\r\n\r\n".to_vec()].concat(),
+                        ],
+                    };
+                    let upstream = Upstream::start(move |_| write_paced(pieces.clone(), pause));
+                    let program = start_with_upstream(&upstream);
+                    for class in ["look", "post"] {
+                        let response = program.connect().request(class, SHORT_BUDGET, "b");
+                        let case = format!("{class}: {first_length} of {length} bytes, then {pause:?}");
+                        let response = response.unwrap_or_else(|| panic!("{case}: cut off"));
+                        assert!(response.status() == 200 && response.body == body, "{case}");
+                    }
+                }));
+            }
+        }
+    }
+    join_all(threads);
+}
+
 /// Reads the head of a response.
 fn read_head(input: &mut impl BufRead) -> String {
     let mut head = String::new();
