Write the log on a thread of its own, so that a full pipe delays no request

What callers saw: once standard error was a pipe that nobody read, the first log line stopped every request for ever.

Cause: logging::log wrote to standard error with a blocking write, on the thread of the requests.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 use transient_errors::retry_blocking;
 
 fn main() -> ExitCode {
+    let _log_writer = proxy::logging::start();
     let outcome = config::Config::load().and_then(|config| {
         let runtime = retry_blocking(|| Builder::new_current_thread().enable_all().build())
             .map_err(|error| format!("cannot start the asynchronous runtime: {error}"))?;
@@ -19,7 +20,7 @@
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            proxy::logging::log(format_args!("{error}"));
+            tracing::info!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -56,14 +56,12 @@
         runtime.block_on(async {
             match retry(|| TcpListener::from_std(listener.try_clone()?)).await {
                 Ok(listener) => serve(listener, Arc::new(context)).await,
-                Err(error) => crate::proxy::logging::log(format_args!(
-                    "operators cannot be served on {address}: {error}"
-                )),
+                Err(error) => tracing::info!("operators cannot be served on {address}: {error}"),
             }
         });
     };
     std::thread::Builder::new().name("admin".into()).spawn(run_server).map_err(start_error)?;
-    crate::proxy::logging::log(format_args!("operators are served on {address}"));
+    tracing::info!("operators are served on {address}");
     Ok(())
 }
 
@@ -100,7 +98,7 @@
                 connections.push_back(AdminConnection { task, has_request });
             }
             Err(error) => {
-                crate::proxy::logging::log(format_args!("cannot take an operator's connection: {error}"));
+                tracing::info!("cannot take an operator's connection: {error}");
                 sleep(backoff.pause()).await;
             }
         }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -128,9 +128,7 @@
                 Ok(listing) if listing.rev < revision && !listing.all => needs_full_list = true,
                 Ok(listing) => {
                     if failures > 0 {
-                        crate::proxy::logging::log(format_args!(
-                            "discovery at {address} responds again after {failures} failures"
-                        ));
+                        tracing::info!("discovery at {address} responds again after {failures} failures");
                     }
                     let is_unchanged = listing.rev == revision && !may_have_missed;
                     (revision, needs_full_list, may_have_missed, failures) = (listing.rev, false, false, 0);
@@ -145,7 +143,7 @@
                 Err(error) => {
                     client.connection = None;
                     if failures == 0 {
-                        crate::proxy::logging::log(format_args!("discovery failed at {address}: {error}"));
+                        tracing::info!("discovery failed at {address}: {error}");
                     }
                     // Requests need not wait for a list that may never come.
                     self.discovery_attempted_sender.send_replace(true);
--- a/src/proxy/dispatcher/actions.rs
+++ b/src/proxy/dispatcher/actions.rs
@@ -48,7 +48,7 @@
             Action::WatchEndpoints => {
                 self.watch_request_sender.send(()).ok(); // fails only while the process exits
             }
-            Action::Log(text) => crate::proxy::logging::log(format_args!("{text}")),
+            Action::Log(text) => tracing::info!("{text}"),
         }
     }
 }
--- a/src/proxy/dispatcher/endpoint_list.rs
+++ b/src/proxy/dispatcher/endpoint_list.rs
@@ -96,10 +96,11 @@
         let endpoint = self.endpoint_id(&target.uid);
         let address: Option<SocketAddr> = target.endpoint.parse().ok();
         if address.is_none() {
-            crate::proxy::logging::log(format_args!(
+            tracing::info!(
                 "upstream {}: {:?} is not an IP address with a port, no requests are sent to it",
-                target.uid, target.endpoint
-            ));
+                target.uid,
+                target.endpoint
+            );
         }
         let in_service = target.state == ListedState::InService;
         let upstream = Upstream { address, boot_ms: target.boot_ms, in_service };
--- a/src/proxy/dispatcher/operators.rs
+++ b/src/proxy/dispatcher/operators.rs
@@ -38,7 +38,7 @@
             self.idle_pool.set_max_open(if overlapping { max_connections / 2 } else { max_connections });
             self.memory.set_shared(overlapping);
             let overlap = if overlapping { "beside another process" } else { "alone" };
-            crate::proxy::logging::log(format_args!("this process serves {overlap}"));
+            tracing::info!("this process serves {overlap}");
             self.overlapping = overlapping;
         }
         self.update_host_counts();
@@ -72,10 +72,10 @@
     pub(super) fn on_order_stored(&mut self, order: &Order) {
         self.update_host_counts();
         let uid = &order.uid;
-        crate::proxy::logging::log(format_args!(
+        tracing::info!(
             "upstream {uid} was {} by an operator",
             if order.offline { "taken offline" } else { "brought back online" }
-        ));
+        );
     }
 
     /// Replaces the offline list and notifies the decision module of each difference.
--- a/src/proxy/dispatcher/timers.rs
+++ b/src/proxy/dispatcher/timers.rs
@@ -40,7 +40,7 @@
     /// Fails a request that the decision module has left open past its deadline. In the decision module, the request
     /// ends as if its client had disconnected.
     pub(super) fn on_deadline_guard(&mut self, id: RequestId) {
-        crate::proxy::logging::log(format_args!("request {} was left open past its time, failing it", id.0));
+        tracing::info!("request {} was left open past its time, failing it", id.0);
         self.respond(id, FinalResponse::Failed);
         self.handle_event(Event::ClientDisconnected(id));
     }
--- a/src/proxy/downstream/admission.rs
+++ b/src/proxy/downstream/admission.rs
@@ -72,7 +72,7 @@
                     self.accept_client(tcp, graceful_shutdown);
                 }
                 Err(error) => {
-                    crate::proxy::logging::log(format_args!("cannot take a client connection: {error}"));
+                    tracing::info!("cannot take a client connection: {error}");
                     let accept_failures = accept_failures.get_or_insert_default();
                     if is_shortage(&error) {
                         self.relieve_shortage(accept_failures);
--- a/src/proxy/downstream/client_task.rs
+++ b/src/proxy/downstream/client_task.rs
@@ -53,7 +53,7 @@
             .await
             .unwrap_or(CloseReason::Panicked);
         if reason == CloseReason::Panicked {
-            crate::proxy::logging::log(format_args!("the task that serves a client connection has panicked"));
+            tracing::info!("the task that serves a client connection has panicked");
         }
         self.client.connection.close(reason, self.client.eviction_notify.notified()).await;
     }
--- a/src/proxy/downstream/draining.rs
+++ b/src/proxy/downstream/draining.rs
@@ -48,9 +48,7 @@
                 }
                 // Other connections still wait in the backlog, and closing the listener would reset them.
                 Ok(Err(error)) => {
-                    crate::proxy::logging::log(format_args!(
-                        "cannot take a client connection from the backlog: {error}"
-                    ));
+                    tracing::info!("cannot take a client connection from the backlog: {error}");
                     sleep(backoff.pause()).await;
                 }
                 Err(_) => return,
--- a/src/proxy/downstream/serving.rs
+++ b/src/proxy/downstream/serving.rs
@@ -59,10 +59,7 @@
         backlog_task.inspect(JoinHandle::abort);
         timeout_checks.abort();
         memory_relief.abort();
-        crate::proxy::logging::log(format_args!(
-            "stopping with {} open client connections",
-            server.client_count()
-        ));
+        tracing::info!("stopping with {} open client connections", server.client_count());
         server.shut_down().await;
     }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -50,10 +50,10 @@
 async fn reload(discovery_address_sender: watch::Sender<SocketAddr>) {
     match Config::reload().await {
         Ok(config) => {
-            logging::log(format_args!("configuration read again, discovery at {}", config.discovery));
+            tracing::info!("configuration read again, discovery at {}", config.discovery);
             discovery_address_sender.send_replace(config.discovery);
         }
-        Err(error) => logging::log(format_args!("configuration kept, as the new one is not sound: {error}")),
+        Err(error) => tracing::info!("configuration kept, as the new one is not sound: {error}"),
     }
 }
 
@@ -108,7 +108,7 @@
         let now = Instant::now();
         let new_schedule = ShutdownSchedule::new(settings, long_response_share, now);
         let serving_time = new_schedule.reject_at - now;
-        logging::log(format_args!("stop requested, requests are served for {serving_time:.2?} more"));
+        tracing::info!("stop requested, requests are served for {serving_time:.2?} more");
         *schedule = Some(new_schedule);
         true
     });
@@ -129,7 +129,7 @@
             .map_err(|error| setup_error(&format!("`listen` {}", config.listen), error))?,
     };
     let address = listener.local_addr().map_err(|error| setup_error("`listen`", error))?;
-    logging::log(format_args!("listening on {address}"));
+    tracing::info!("listening on {address}");
 
     let config = Arc::new(config);
     let (dispatcher_sender, inbox) = mpsc::unbounded_channel();
--- a/src/proxy/offline_endpoints.rs
+++ b/src/proxy/offline_endpoints.rs
@@ -226,9 +226,9 @@
         Err(error) if error.step == FileStep::SyncFolder => Err(sync_error.into()),
         Err(error) => {
             // Neither the commit nor its undoing can be made durable. All processes see the order as committed.
-            crate::proxy::logging::log(format_args!(
+            tracing::info!(
                 "{order:?} is in force, but its folder cannot be synced ({sync_error}), nor the order undone: {error}"
-            ));
+            );
             Ok(())
         }
     }
--- a/src/proxy/process_handover.rs
+++ b/src/proxy/process_handover.rs
@@ -69,9 +69,7 @@
                 self.announce_failed = false;
             }
             Err(error) if !self.announce_failed => {
-                crate::proxy::logging::log(format_args!(
-                    "this process cannot be announced, will be retried: {error}"
-                ));
+                tracing::info!("this process cannot be announced, will be retried: {error}");
                 self.announce_failed = true;
             }
             Err(_) => {}
--- a/src/proxy/shared_folder.rs
+++ b/src/proxy/shared_folder.rs
@@ -129,13 +129,11 @@
         let outcome = self.endpoints.read();
         match &outcome {
             ReadOutcome::Unreadable(error) if !self.read_failed => {
-                crate::proxy::logging::log(format_args!(
-                    "the list of offline upstreams cannot be read now: {error}"
-                ));
+                tracing::info!("the list of offline upstreams cannot be read now: {error}");
+            }
+            ReadOutcome::Damaged(error) => {
+                tracing::info!("the list of offline upstreams is damaged, and ignored: {error}")
             }
-            ReadOutcome::Damaged(error) => crate::proxy::logging::log(format_args!(
-                "the list of offline upstreams is damaged, and ignored: {error}"
-            )),
             _ => {}
         }
         self.read_failed = matches!(outcome, ReadOutcome::Unreadable(_));
@@ -153,9 +151,7 @@
         if let Err(error) = &result
             && !self.repair_failed
         {
-            crate::proxy::logging::log(format_args!(
-                "the list of offline upstreams cannot be written now: {error}"
-            ));
+            tracing::info!("the list of offline upstreams cannot be written now: {error}");
         }
         self.repair_failed = result.is_err();
     }
@@ -169,9 +165,7 @@
             Ok(list) => FolderEvent::OrderStored(request, list),
             Err(error) => {
                 let uid = &request.order.uid;
-                crate::proxy::logging::log(format_args!(
-                    "an order about upstream {uid} cannot be carried out: {error}"
-                ));
+                tracing::info!("an order about upstream {uid} cannot be carried out: {error}");
                 FolderEvent::OrderNotStored(request)
             }
         }
--- a/src/proxy/upstream/exchange.rs
+++ b/src/proxy/upstream/exchange.rs
@@ -255,7 +255,7 @@
 fn undeliverable_outcome(outcome: AttemptOutcome, reason: &str) -> AttemptOutcome {
     match outcome {
         AttemptOutcome::Success | AttemptOutcome::InvalidRequest => {
-            crate::proxy::logging::log(format_args!("a long response is not forwarded, as {reason}"));
+            tracing::info!("a long response is not forwarded, as {reason}");
             AttemptOutcome::Undeliverable
         }
         outcome => outcome,
