Forward what an upstream still gives of a long response past the deadline

What callers saw: an answer of 135 kB was cut off 0.372 s after the deadline of its request, while its upstream was still writing.

Cause: past the deadline, every streamed response had to arrive at 1000 bytes a second over the first 0.35 s. An upstream that writes in lumps pauses for longer than that.

A response is long by its length, or once more than 64 KiB have been received. Its rate is measured over 15 s at a time. Up to 64 KiB, and while the size is not known, the older rule holds: the last byte is owed within half a second of the deadline.

Evidence: a_long_response_in_uneven_lumps_arrives_whole failed in 18 of 24 cases before.

--- a/src/proxy/body/response_body.rs
+++ b/src/proxy/body/response_body.rs
@@ -64,7 +64,9 @@
         request_deadline: Option<Instant>,
         on_end: AttemptEndCallback,
     ) -> Self {
-        let rate = MinimumRate::new(request_deadline);
+        let received = buffered.len() as u64;
+        let length = body.size_hint().exact().map(|remaining| received + remaining);
+        let rate = MinimumRate::new(request_deadline, received, length);
         let streamed = StreamedResponse {
             body,
             connection: Some(connection),
--- a/src/proxy/minimum_rate.rs
+++ b/src/proxy/minimum_rate.rs
@@ -1,5 +1,6 @@
 //! A minimum rate for streamed responses, to detect a response that has stopped or is too slow.
 
+use crate::proxy::body::MAX_BUFFERED_BODY;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -13,6 +14,8 @@
 const FIRST_WINDOW: Duration = Duration::from_millis(350);
 /// Length of each later window: a long response may pause, but its rest must not be delayed for longer.
 const LATER_WINDOW: Duration = Duration::from_secs(2);
+/// Length of each window of a long response: what its upstream still gives is forwarded, however uneven it is.
+const LONG_RESPONSE_WINDOW: Duration = IDLE_TIMEOUT;
 /// Delay between the end of a window and the recheck of its bytes. After a stall of the process, the end of the window
 /// is noticed before the bytes that were received meanwhile.
 const RECHECK_DELAY: Duration = Duration::from_millis(20);
@@ -25,21 +28,40 @@
 pub struct MinimumRate {
     /// The window in which bytes are counted; `None` if the deadline of the request is not known.
     window: Option<Window>,
+    /// Number of bytes of the response that were received so far.
+    received: u64,
+    /// Length of the response in bytes, if it is known.
+    length: Option<u64>,
     /// Start of the wait for the next bytes that is in progress; `None` if no bytes are waited for.
     waiting_since: Option<Instant>,
     timer: Pin<Box<Sleep>>,
 }
 
 impl MinimumRate {
-    /// Monitors the response to a request with this deadline.
-    pub fn new(deadline: Option<Instant>) -> Self {
-        let window = deadline.map(|deadline| Window::new(deadline, FIRST_WINDOW));
-        Self { window, waiting_since: None, timer: Box::pin(sleep_until(Instant::now() + IDLE_TIMEOUT)) }
+    /// Monitors the response to a request with this deadline. Of the response, `received` bytes have been received; its
+    /// whole length is `length` bytes, if it is known.
+    pub fn new(deadline: Option<Instant>, received: u64, length: Option<u64>) -> Self {
+        let timer = Box::pin(sleep_until(Instant::now() + IDLE_TIMEOUT));
+        let mut rate = Self { window: None, received, length, waiting_since: None, timer };
+        rate.window = deadline.map(|deadline| rate.window_from(deadline, FIRST_WINDOW));
+        rate
+    }
+
+    /// Whether the response is known to be too long to be buffered as a whole. Its client waits in time for its first bytes
+    /// only; of any other response, it waits for the last one.
+    fn is_long(&self) -> bool {
+        self.length.unwrap_or(self.received) > MAX_BUFFERED_BODY as u64
+    }
+
+    /// A window from `start` on. `length` applies unless the response is long.
+    fn window_from(&self, start: Instant, length: Duration) -> Window {
+        Window::new(start, if self.is_long() { LONG_RESPONSE_WINDOW } else { length })
     }
 
     /// Records that `bytes` bytes of the response were received.
     pub fn record_received(&mut self, bytes: usize) {
         let now = Instant::now();
+        self.received += bytes as u64;
         let waiting_since = self.waiting_since.take();
         let Some(window) = self.window.as_mut().filter(|window| window.start <= now) else { return };
         window.received += bytes as u64;
@@ -60,11 +82,18 @@
                 self.timer.as_mut().reset(due);
             }
             ready!(self.timer.as_mut().poll(cx));
+            // A response without a length may have become a long one within the window.
+            let is_outdated = self
+                .window
+                .as_ref()
+                .is_some_and(|window| window.length < LONG_RESPONSE_WINDOW && self.is_long());
+            let next_window = self.window_from(Instant::now(), LATER_WINDOW);
             match &mut self.window {
+                Some(window) if is_outdated => *window = next_window,
                 Some(window) if due < idle_end => match window.evaluate() {
                     WindowResult::TooSlow => return Poll::Ready(()),
                     WindowResult::Recheck => window.extend(since, RECHECK_DELAY),
-                    WindowResult::FastEnough => *window = Window::new(Instant::now(), LATER_WINDOW),
+                    WindowResult::FastEnough => *window = next_window,
                 },
                 _ => return Poll::Ready(()),
             }
