Count a streamed request's time from when its last byte may have been written

What callers saw: 502 came 2.5 to 5 s after the time of a large request, or nothing came until the client left, where the upstream read slowly or stopped.

Cause: the budget ran from the time at which the balancer had read the last byte, and it reads only as fast as the upstream takes. Meanwhile the last byte waited in the receive buffer, or in the client's send buffer.

It is known to be missing while a read waits, while the window stays open, and before it fitted into both buffers, so that a request that is still arriving is not ended. The receive buffer of a streamed request has a fixed size, which bounds what it hides.

--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -252,9 +252,7 @@
         match message {
             DispatcherMessage::Request(request) => self.on_request(*request),
             DispatcherMessage::ClientDisconnected(id) => self.on_client_disconnected(id),
-            DispatcherMessage::RequestReceived(id, request_deadline) => {
-                self.on_request_received(id, request_deadline)
-            }
+            DispatcherMessage::RequestReceived(received) => self.on_request_received(&received),
             DispatcherMessage::ResponseStarted(id, number, started) => {
                 self.on_response_started(id, number, *started)
             }
--- a/src/proxy/dispatcher/requests.rs
+++ b/src/proxy/dispatcher/requests.rs
@@ -1,7 +1,7 @@
 //! Client requests, from their arrival at the dispatcher to their final response.
 
 use super::{AttemptInFlight, DEADLINE_GUARD_DELAY, Dispatcher, PendingRequest};
-use crate::proxy::messages::{ClientRequest, FinalResponse};
+use crate::proxy::messages::{ClientRequest, FinalResponse, ReceivedRequest};
 use balancer::decision::{Event, IncomingRequest, RequestId};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
@@ -44,15 +44,16 @@
     }
 
     /// Sets the deadline of a streamed request, whose time runs from its last byte.
-    pub(super) fn on_request_received(&mut self, id: RequestId, request_deadline: Instant) {
-        let request_deadline = self.clock.time(request_deadline);
+    pub(super) fn on_request_received(&mut self, received: &ReceivedRequest) {
+        let id = received.id;
+        let request_deadline = self.clock.time(received.deadline);
         let Some(pending_request) =
             self.requests.get_mut(&id).filter(|pending_request| pending_request.response_sender.is_some())
         else {
             return;
         };
         pending_request.request_deadline = Some(request_deadline);
-        pending_request.received_at.send_replace(Some(Instant::now()));
+        pending_request.received_at.send_replace(Some(received.received_at));
         self.deadline_guards.insert((request_deadline.saturating_add(DEADLINE_GUARD_DELAY), id));
     }
 
@@ -86,11 +87,11 @@
     pub(super) fn respond(&mut self, id: RequestId, response: FinalResponse) {
         if let Some((sender, class)) = self.take_response_sender(id) {
             let outcome = response.outcome();
-            // Fails if the client has just disconnected; the request is not counted then.
             if !matches!(response, FinalResponse::Served(_)) {
                 let attempts = self.requests.get(&id).map_or(0, |pending_request| pending_request.attempts);
                 tracing::info!(request = id.0, attempts, ?outcome, "no response of an upstream");
             }
+            // Fails if the client has just disconnected; the request is not counted then.
             if sender.send(response).is_ok() {
                 self.counters.count(class, outcome);
             }
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -2,11 +2,15 @@
 
 use crate::proxy::body::MAX_READ_SIZE;
 use crate::proxy::body::write_backpressure::WriteBackpressure;
+use crate::proxy::downstream::arrival::{
+    ARRIVAL_CHECK_INTERVAL, Arrival, OPEN_WINDOW, STREAM_RECEIVE_BUFFER, UNCERTAIN_ARRIVAL_DELAY,
+};
 use crate::proxy::downstream::request_framing::{IdleState, MAX_HEAD_SIZE, Phase, RequestFraming};
 use crate::proxy::sync::lock;
 use crate::transient_errors::{SHORTAGE_PAUSE, is_shortage, poll_later};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use rustix::io::retry_on_intr;
+use rustix::io::{ioctl_fionread, retry_on_intr};
+use rustix::net::{RecvFlags, recv};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::Shutdown;
@@ -18,6 +22,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
+/// The bytes that end a chunked request, whether or not it has trailers.
+const END_OF_CHUNKED_REQUEST: &[u8] = b"\r\n\r\n";
+
 /// A client's socket and its framing state, as used by the code outside hyper.
 #[derive(Clone)]
 pub struct ClientConnection {
@@ -48,6 +55,39 @@
         ClientLiveness { tcp: Arc::downgrade(&self.tcp), framing: Arc::downgrade(&self.framing) }
     }
 
+    /// Bounds the bytes of a streamed request that wait in the kernel.
+    pub fn limit_receive_buffer(&self) {
+        SockRef::from(&*self.tcp).set_recv_buffer_size(STREAM_RECEIVE_BUFFER).ok(); // the bound is then an estimate
+    }
+
+    /// Waits until the last byte of the request, which is still being read, has been received by the kernel, or may have
+    /// been written so long ago that its time of `budget` is over. Returns when that was.
+    pub async fn wait_for_possible_arrival(&self, budget: Duration) -> Instant {
+        loop {
+            let unread = ioctl_fionread(&*self.tcp).unwrap_or(0);
+            let may_end = self.may_end_request(unread);
+            let arrival = lock(&self.framing).assess_arrival(unread, may_end);
+            match arrival {
+                Arrival::CompleteSince(since) => return since,
+                Arrival::PossibleSince(since) if since.elapsed() >= budget + UNCERTAIN_ARRIVAL_DELAY => {
+                    return since;
+                }
+                Arrival::PossibleSince(_) => sleep(ARRIVAL_CHECK_INTERVAL).await,
+            }
+        }
+    }
+
+    /// Whether the unread bytes, whose number is given, may include the end of a chunked request. Only a small number of
+    /// them is examined.
+    fn may_end_request(&self, unread: u64) -> bool {
+        if unread == 0 || unread >= OPEN_WINDOW {
+            return true;
+        }
+        let mut bytes = vec![0; unread as usize];
+        let Ok((length, _)) = recv(&*self.tcp, &mut bytes[..], RecvFlags::PEEK) else { return true };
+        length < END_OF_CHUNKED_REQUEST.len() || bytes[..length].ends_with(END_OF_CHUNKED_REQUEST)
+    }
+
     /// Waits until the client has closed or reset the connection, while its request is still being received.
     /// `PRIORITY` interest reports this even behind unread bytes. It would also report urgent data, which is not
     /// expected.
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -1,6 +1,7 @@
 //! The downstream side: accepts client connections, reads and validates requests, and writes responses.
 
 mod admission;
+mod arrival;
 mod client;
 mod client_task;
 pub mod closing;
--- a/src/proxy/downstream/request_framing.rs
+++ b/src/proxy/downstream/request_framing.rs
@@ -1,6 +1,7 @@
 //! Request framing on a client connection, tracked outside hyper: where each request starts and ends, which bytes are
 //! buffered, and which response is still due.
 
+use crate::proxy::downstream::arrival::{Arrival, ArrivalTracker, Positions, RequestEnd};
 use bytes::{Buf, BytesMut};
 use std::collections::VecDeque;
 use std::io;
@@ -44,10 +45,10 @@
 /// Maximum pause within a body. A client that has stopped sending gets an error, even if it sent fast before.
 pub const MAX_BODY_PAUSE: Duration = Duration::from_secs(2);
 
-/// How long a client may accept no bytes of its response.
 /// How long the next bytes of a body may be waited for before its connection may be closed for another client.
 pub const MIN_BODY_STALL: Duration = Duration::from_millis(10);
 
+/// How long a client may accept no bytes of its response.
 pub const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Reads that follow each other within this interval are recorded as one.
@@ -78,9 +79,9 @@
     BetweenRequests,
     /// A part of a request head was received.
     PartialHead,
-    /// The last response is written, and the connection stays open only for the client to read it.
     /// A request's head and a part of its body were received, and nothing more for [`MIN_BODY_STALL`].
     StalledBody,
+    /// The last response is written, and the connection stays open only for the client to read it.
     Lingering,
 }
 
@@ -124,6 +125,8 @@
     pub read_wait: Duration,
     /// Start of hyper's wait for bytes that is in progress; `None` if hyper does not wait for bytes.
     pub read_wait_since: Option<Instant>,
+    /// Tracks until when the last byte of the current request was known to be missing.
+    arrival: ArrivalTracker,
     /// Since when the client has accepted no bytes of its response; `None` if the last write did not have to wait.
     pub response_stalled_since: Option<Instant>,
     /// The current request has both Content-Length and Transfer-Encoding, of which hyper keeps only one. The request is
@@ -160,6 +163,7 @@
             head_end: 0,
             read_wait: Duration::ZERO,
             read_wait_since: None,
+            arrival: ArrivalTracker::new(now),
             response_stalled_since: None,
             has_both_lengths: false,
             read_waker: None,
@@ -226,6 +230,20 @@
             && (self.received_bytes - self.head_end) as f64 >= min_bytes
     }
 
+    /// Assesses whether the last byte of the current request may have been written, with this many bytes in the kernel.
+    /// `may_end` says that these may include the end of a request of unknown length.
+    pub fn assess_arrival(&mut self, unread: u64, may_end: bool) -> Arrival {
+        let end = match self.phase {
+            Phase::Delivering(remaining) => RequestEnd::At(self.delivered_bytes + remaining),
+            Phase::Complete => return Arrival::CompleteSince(self.arrival.missing_at()),
+            Phase::Head | Phase::Unbounded if may_end => RequestEnd::Unknown,
+            Phase::Head | Phase::Unbounded => RequestEnd::Later,
+        };
+        let positions = Positions { read: self.received_bytes, received: self.received_bytes + unread, end };
+        let is_waiting = self.read_wait_since.is_some() && unread == 0;
+        self.arrival.assess(positions, is_waiting, Instant::now())
+    }
+
     /// Whether the current request has both Content-Length and Transfer-Encoding, so that another request may be
     /// smuggled in it.
     pub fn has_both_lengths(&self) -> bool {
@@ -365,13 +383,15 @@
     /// Records a read of `received` bytes; zero bytes are the client's FIN.
     pub fn record_read(&mut self, received: usize) {
         let now = Instant::now();
-        self.read_wait += self.read_wait_since.take().map_or(Duration::ZERO, |since| now - since);
+        let wait = self.read_wait_since.take().map(|since| now - since);
+        self.read_wait += wait.unwrap_or_default();
         if received == 0 {
             self.eof_received = true;
         } else if self.phase == Phase::Head && self.read_buffer.len() == received && self.known_class_served {
             self.request_wait_since = now;
         }
         self.received_bytes += received as u64;
+        self.arrival.record_read(self.received_bytes, wait.is_some(), now);
         match self.recent_reads.back_mut() {
             Some((end, at)) if now - *at < READ_MERGE_INTERVAL => *end = self.received_bytes,
             _ => self.recent_reads.push_back((self.received_bytes, now)),
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -13,7 +13,7 @@
     REJECTION_RETRY_AFTER, empty_response, rejection, remove_hop_by_hop_headers,
 };
 use crate::proxy::downstream::timing::REQUEST_READ_TIMEOUT;
-use crate::proxy::messages::{ClientRequest, DispatcherMessage, FinalResponse};
+use crate::proxy::messages::{ClientRequest, DispatcherMessage, FinalResponse, ReceivedRequest};
 use crate::proxy::metrics::RequestOutcome;
 use crate::proxy::sync::lock;
 use balancer::decision::{Idempotency, RequestId};
@@ -165,7 +165,8 @@
         let (mut head, body) = request.into_parts();
         remove_hop_by_hop_headers(&mut head.headers);
         detach_from_read_buffer(&mut head);
-        let received_start = self.receive_start(body, parameters.class, parameters.budget).await?;
+        let received_start =
+            self.receive_start(connection, body, parameters.class, parameters.budget).await?;
         let ReceivedStart { body, incomplete, memory_permit, buffered_at } = received_start;
         // The body is buffered before this wait, so that the budget already runs during the wait.
         let is_discovery_attempted =
@@ -190,13 +191,11 @@
         let mut cancel_on_drop = CancelOnDrop(Some(id), &self.dispatcher_sender);
         let (response_sender, mut response_receiver) = oneshot::channel();
         let RequestParameters { class, tenant, work, budget, .. } = parameters;
-        // Counts the completely received request as in flight, and returns its deadline.
-        let mut on_request_received = || {
-            guard._in_flight = Some(self.counters.start_request());
-            lock(framing).mark_request_complete() + budget
-        };
         let deadline = match &incomplete {
-            None => on_request_received(),
+            None => {
+                guard._in_flight = Some(self.counters.start_request());
+                lock(framing).mark_request_complete() + budget
+            }
             Some(_) => buffered_at + budget,
         };
         let client = connection.liveness();
@@ -205,25 +204,45 @@
         self.dispatcher_sender.send(DispatcherMessage::Request(Box::new(client_request))).ok();
         // The client cannot read this.
         let disconnected = Err(RequestFailure::Invalid(StatusCode::BAD_REQUEST, "the caller has left\n"));
-        let early_response = match incomplete {
-            None => None,
-            Some((remainder, remainder_received)) => tokio::select! {
-                biased;
-                Ok(()) = remainder_received => {
-                    self.dispatcher_sender.send(DispatcherMessage::RequestReceived(id, on_request_received())).ok();
-                    None
-                }
-                final_response = &mut response_receiver => Some(final_response),
-                // While an attempt waits for its connection, the body is not read, so that a disconnect would go
-                // unnoticed without this check of the connection.
-                () = connection.wait_for_disconnect_while_receiving() => return disconnected,
-                // The rest of the body stays unread, so that no upstream receives the whole request.
-                () = self.wait_until_rejecting() => {
-                    remainder.abort();
-                    return Err(RequestFailure::Rejected { class, reason: RejectionReason::ShuttingDown });
+        let mut early_response = None;
+        if let Some((remainder, mut remainder_received)) = incomplete {
+            // Tells the dispatcher when the request was received, and counts it as in flight. That happens once, as soon as
+            // its last byte may have been written, even if it has not been read yet.
+            let mut on_received = |received_at: Instant| {
+                guard._in_flight = Some(self.counters.start_request());
+                let received = ReceivedRequest { id, received_at, deadline: received_at + budget };
+                self.dispatcher_sender.send(DispatcherMessage::RequestReceived(received)).ok();
+            };
+            let mut is_received = false;
+            loop {
+                tokio::select! {
+                    biased;
+                    Ok(()) = &mut remainder_received => {
+                        let received_at = lock(framing).mark_request_complete();
+                        if !is_received {
+                            on_received(received_at);
+                        }
+                        break;
+                    }
+                    final_response = &mut response_receiver => {
+                        early_response = Some(final_response);
+                        break;
+                    }
+                    // While an attempt waits for its connection, the body is not read, so that a disconnect would go
+                    // unnoticed without this check of the connection.
+                    () = connection.wait_for_disconnect_while_receiving() => return disconnected,
+                    // The rest of the body stays unread, so that no upstream receives the whole request.
+                    () = self.wait_until_rejecting() => {
+                        remainder.abort();
+                        return Err(RequestFailure::Rejected { class, reason: RejectionReason::ShuttingDown });
+                    }
+                    received_at = connection.wait_for_possible_arrival(budget), if !is_received => {
+                        is_received = true;
+                        on_received(received_at);
+                    }
                 }
-            },
-        };
+            }
+        }
         let final_response = match early_response {
             Some(final_response) => final_response,
             None => tokio::select! {
@@ -264,6 +283,7 @@
     /// Buffers the start of a request's body. If that is not the whole body, reserves the memory for streaming the rest.
     async fn receive_start(
         &self,
+        connection: &ClientConnection,
         mut body: Incoming,
         class: usize,
         budget: Duration,
@@ -286,6 +306,7 @@
             let body = RequestBody { buffered, remainder: None };
             return Ok(ReceivedStart { body, incomplete: None, memory_permit: None, buffered_at });
         }
+        connection.limit_receive_buffer();
         let memory_deadline = buffered_at + MAX_MEMORY_WAIT.min(budget / 2);
         let memory_permit = self.memory.reserve_stream(Stream::Request, memory_deadline).await;
         let reason = RejectionReason::NoStreamMemory;
--- a/src/proxy/messages.rs
+++ b/src/proxy/messages.rs
@@ -18,8 +18,8 @@
 pub enum DispatcherMessage {
     /// A client's request, received completely or up to the size that is buffered.
     Request(Box<ClientRequest>),
-    /// A streamed request has been received completely. The instant is its deadline, counted from its last byte.
-    RequestReceived(RequestId, Instant),
+    /// A streamed request has been received completely, or may have been.
+    RequestReceived(ReceivedRequest),
     /// The client of a request has closed its connection.
     ClientDisconnected(RequestId),
     /// The response to the attempt with this number has started, and its rest is to be streamed.
@@ -61,6 +61,15 @@
     pub response_sender: oneshot::Sender<FinalResponse>,
 }
 
+/// When a streamed request was received.
+pub struct ReceivedRequest {
+    pub id: RequestId,
+    /// When its last byte was received.
+    pub received_at: Instant,
+    /// Its deadline, counted from its last byte.
+    pub deadline: Instant,
+}
+
 /// The final response to a request.
 pub enum FinalResponse {
     /// The response of an upstream.
