Remember the ids of requests that may have run, also across two processes

What callers saw: a request whose client had left ran a second time when the same id came again, in the same process and at the other one of an upgrade, for each class.

Cause: an id was known only while its client was connected, and only to the process that had read it.

Change: the claim of an id is held until the last attempt of its request has ended. With an inherited listener, each process writes its ids to a file of its own in TMPDIR before it looks for them in the files of the others, which the process that inherits the folder reads as well.

refuses_a_second_request_with_the_same_id expected that an id may be used again once its client has left. The test expects 409 now, and that nothing is sent.

An id that was never sent may still come again.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -22,6 +22,8 @@
 /// Number of file descriptors that the admin server needs: its connections, one more that is being accepted, its
 /// listener and the descriptors of its runtime.
 pub const ADMIN_DESCRIPTORS: usize = ADMIN_CONNECTIONS + 6;
+/// Number of file descriptors for the request ids that the processes of a replacement share.
+pub const REQUEST_ID_DESCRIPTORS: usize = 3;
 /// Number of file descriptors used neither for served clients nor for upstreams: those of the standard streams, the
 /// listener, discovery and the runtime, files that are open briefly, and client connections over the limit.
 const RESERVED_DESCRIPTORS: usize = 16 + MAX_CONNECTIONS_OVER_LIMIT;
@@ -180,12 +182,15 @@
             return Err(format!("`limits.memory_mb` is {memory}, less than the minimum of {MIN_MEMORY_MB}"));
         }
         // A client that waits for a response needs an upstream connection beside its own; an idle client does not.
-        let reserved = RESERVED_DESCRIPTORS + admin.as_ref().map_or(0, |_| ADMIN_DESCRIPTORS);
+        let listen_fd = environment_variable("LB_LISTEN_FD").map(|fd| parse_descriptor(&fd)).transpose()?;
+        let reserved = RESERVED_DESCRIPTORS
+            + admin.as_ref().map_or(0, |_| ADMIN_DESCRIPTORS)
+            + listen_fd.map_or(0, |_| REQUEST_ID_DESCRIPTORS);
         let upstreams = (sockets / UPSTREAM_SHARE_DIVISOR).min((sockets - reserved) / 2);
         let clients = sockets - reserved - upstreams;
         Ok(Self {
             listen: parse_address("listen", listen.or(raw.listen))?,
-            listen_fd: environment_variable("LB_LISTEN_FD").map(|fd| parse_descriptor(&fd)).transpose()?,
+            listen_fd,
             discovery: parse_address("discovery", discovery.or(raw.discovery))?,
             admin: admin.map(|admin| parse_address("admin_addr", Some(admin))).transpose()?,
             seed: u64::from_str_radix(&raw.seed, 16)
--- a/src/proxy/dispatcher/attempts.rs
+++ b/src/proxy/dispatcher/attempts.rs
@@ -233,6 +233,9 @@
             return;
         };
         let attempt = pending_request.attempts_in_flight.swap_remove(position);
+        if attempt.write_started.load(Ordering::Relaxed) && !result.outcome.never_ran() {
+            pending_request.request_id_guard.mark_may_have_run();
+        }
         if result.outcome != AttemptOutcome::Success {
             let (endpoint, outcome) = (attempt.endpoint.0, result.outcome);
             tracing::info!(request = id.0, attempt = number, endpoint, ?outcome, "attempt failed");
--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -19,6 +19,7 @@
 use crate::proxy::messages::{DispatcherMessage, FinalResponse};
 use crate::proxy::metrics::{self, Counters};
 use crate::proxy::orders::OfflineList;
+use crate::proxy::request_ids::RequestIdGuard;
 use crate::proxy::shared_folder::{FolderState, SharedFolder};
 use crate::proxy::shutdown_schedule::ShutdownReceiver;
 use crate::proxy::start_times::{ListOrigin, StartTimes};
@@ -58,6 +59,8 @@
 
 /// A request that has no response yet, or has attempts in flight.
 struct PendingRequest {
+    /// The claim of the id that the client gave the request.
+    request_id_guard: Arc<RequestIdGuard>,
     request: Request<RequestBody>,
     client: ClientLiveness,
     class: usize,
--- a/src/proxy/dispatcher/requests.rs
+++ b/src/proxy/dispatcher/requests.rs
@@ -27,6 +27,7 @@
         self.requests.insert(
             id,
             PendingRequest {
+                request_id_guard: client_request.request_id_guard,
                 request: client_request.request,
                 client: client_request.client,
                 class: client_request.class,
--- a/src/proxy/downstream/guards.rs
+++ b/src/proxy/downstream/guards.rs
@@ -4,9 +4,9 @@
 use crate::proxy::downstream::request_framing::RequestFraming;
 use crate::proxy::messages::DispatcherMessage;
 use crate::proxy::metrics::InFlightGuard;
+use crate::proxy::request_ids::RequestIdGuard;
 use crate::proxy::sync::lock;
 use balancer::decision::RequestId;
-use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -22,36 +22,14 @@
     }
 }
 
-/// Reserves the id that a client gave its request, the value of X-Call-Id. A second open request with the same id is
-/// rejected: upstreams and clients could not tell the two responses apart.
-pub struct RequestIdGuard(pub Arc<Mutex<HashSet<String>>>, pub String);
-
-impl RequestIdGuard {
-    /// Reserves the id, or returns `None` if a request with the same id is open.
-    pub fn try_reserve(
-        open_client_request_ids: &Arc<Mutex<HashSet<String>>>,
-        client_request_id: String,
-    ) -> Option<Self> {
-        lock(open_client_request_ids)
-            .insert(client_request_id.clone())
-            .then(|| Self(open_client_request_ids.clone(), client_request_id))
-    }
-}
-
-impl Drop for RequestIdGuard {
-    fn drop(&mut self) {
-        lock(&self.0).remove(&self.1);
-    }
-}
-
 /// The resources that a request holds until its response has ended.
 pub struct RequestGuard {
     /// The framing state of the client connection, if the response is streamed.
     pub framing: Option<Arc<Mutex<RequestFraming>>>,
     /// Counts the request as in flight; `None` until the request was received completely.
     pub _in_flight: Option<InFlightGuard>,
-    /// The reservation of the id that the client gave the request.
-    pub _request_id_guard: RequestIdGuard,
+    /// The claim of the id that the client gave the request.
+    pub _request_id_guard: Arc<RequestIdGuard>,
     /// The memory reserved for the head of the request.
     pub _request_permit: MemoryPermit,
     /// The memory reserved for the stream of a body that is not buffered as a whole.
--- a/src/proxy/downstream/mod.rs
+++ b/src/proxy/downstream/mod.rs
@@ -20,8 +20,9 @@
 use crate::proxy::downstream::client::ClientHandle;
 use crate::proxy::messages::DispatcherMessage;
 use crate::proxy::metrics::Counters;
+use crate::proxy::request_ids::RequestIds;
 use crate::proxy::shutdown_schedule::{ShutdownReceiver, wait_for_shutdown};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64};
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc::UnboundedSender;
@@ -52,8 +53,8 @@
     pub next_client_id: AtomicU64,
     /// The client connections by their ids.
     pub clients: Mutex<HashMap<u64, Arc<ClientHandle>>>,
-    /// The ids that clients gave their open requests, the values of X-Call-Id.
-    pub open_client_request_ids: Arc<Mutex<HashSet<String>>>,
+    /// The ids that clients gave their requests, the values of X-Call-Id.
+    pub request_ids: Arc<RequestIds>,
     /// The memory budget that connections, streams and buffered bodies count towards.
     pub memory: Arc<MemoryBudget>,
     /// Notified when a client connection is closed.
@@ -84,6 +85,7 @@
         signals: ServerSignals,
         counters: Arc<Counters>,
         memory: Arc<MemoryBudget>,
+        request_ids: Arc<RequestIds>,
     ) -> Self {
         Self {
             config,
@@ -95,7 +97,7 @@
             next_request_id: AtomicU32::new(0),
             next_client_id: AtomicU64::new(0),
             clients: Mutex::default(),
-            open_client_request_ids: Arc::default(),
+            request_ids,
             memory,
             client_closed: Notify::new(),
             draining: AtomicBool::new(false),
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -7,7 +7,7 @@
 use crate::proxy::body::{MAX_BODY, MAX_BUFFERED_BODY, MAX_MEMORY_WAIT, SCARCE_MEMORY_START};
 use crate::proxy::downstream::DownstreamServer;
 use crate::proxy::downstream::connection::ClientConnection;
-use crate::proxy::downstream::guards::{CancelOnDrop, RequestGuard, RequestIdGuard};
+use crate::proxy::downstream::guards::{CancelOnDrop, RequestGuard};
 use crate::proxy::downstream::request_head::detach_from_read_buffer;
 use crate::proxy::downstream::responses::{
     REJECTION_RETRY_AFTER, empty_response, rejection, remove_hop_by_hop_headers,
@@ -148,15 +148,15 @@
         if request.body().size_hint().lower() > MAX_BODY {
             return Err(RequestFailure::Invalid(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"));
         }
-        let Some(request_id_guard) =
-            RequestIdGuard::try_reserve(&self.open_client_request_ids, parameters.client_request_id)
-        else {
+        let Some(request_id_guard) = self.request_ids.claim(&parameters.client_request_id) else {
+            tracing::info!(id = parameters.client_request_id, "request refused, as its id may have run");
             self.counters.count(parameters.class, RequestOutcome::Failure);
             return Err(RequestFailure::Invalid(
                 StatusCode::CONFLICT,
-                "a request with this X-Call-Id is open\n",
+                "a request with this X-Call-Id is open or may have run\n",
             ));
         };
+        let request_id_guard = Arc::new(request_id_guard);
         let request_permit = self.memory.try_reserve_request(request.headers().len());
         let request_permit = request_permit.ok_or(RequestFailure::Rejected {
             class: parameters.class,
@@ -181,7 +181,7 @@
         let mut guard = RequestGuard {
             framing: None,
             _in_flight: None,
-            _request_id_guard: request_id_guard,
+            _request_id_guard: request_id_guard.clone(),
             _request_permit: request_permit,
             _stream_permit: memory_permit,
         };
@@ -199,8 +199,17 @@
             Some(_) => buffered_at + budget,
         };
         let client = connection.liveness();
-        let client_request =
-            ClientRequest { id, request, client, class, tenant, work, deadline, response_sender };
+        let client_request = ClientRequest {
+            id,
+            request_id_guard,
+            request,
+            client,
+            class,
+            tenant,
+            work,
+            deadline,
+            response_sender,
+        };
         self.dispatcher_sender.send(DispatcherMessage::Request(Box::new(client_request))).ok();
         // The client cannot read this.
         let disconnected = Err(RequestFailure::Invalid(StatusCode::BAD_REQUEST, "the caller has left\n"));
--- a/src/proxy/messages.rs
+++ b/src/proxy/messages.rs
@@ -6,10 +6,12 @@
 use crate::proxy::downstream::connection::ClientLiveness;
 use crate::proxy::metrics;
 use crate::proxy::orders::OrderRequest;
+use crate::proxy::request_ids::RequestIdGuard;
 use crate::proxy::shared_folder::FolderEvent;
 use crate::proxy::upstream::exchange::{AttemptResult, StartedResponse};
 use balancer::decision::{EndpointId, RequestId};
 use hyper::{Request, Response, StatusCode};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -45,6 +47,8 @@
 /// A client's request, with the sender of its final response.
 pub struct ClientRequest {
     pub id: RequestId,
+    /// The claim of the id that the client gave the request.
+    pub request_id_guard: Arc<RequestIdGuard>,
     /// The request without the headers that concern only the client's connection.
     pub request: Request<RequestBody>,
     /// Tells whether the client is still connected.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -18,6 +18,7 @@
 mod orders;
 mod panic;
 mod process_handover;
+mod request_ids;
 mod send_check;
 mod shared_folder;
 mod shutdown_schedule;
@@ -30,6 +31,7 @@
 use balancer::decision::Settings;
 use downstream::{DownstreamServer, ServerSignals};
 use messages::DispatcherMessage;
+use request_ids::{RequestIds, SharedTable};
 use shared_folder::{FolderState, SharedFolder};
 use shutdown_schedule::ShutdownSchedule;
 use std::io::{self};
@@ -96,6 +98,15 @@
         .map_err(|error| format!("cannot start the thread of the shared folder: {error}"))
 }
 
+/// Opens the table of request ids that this process shares with the one that it replaces or is replaced by. Without it,
+/// each process knows its own ids only.
+fn open_request_id_table(config: &Config) -> Option<SharedTable> {
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from).filter(|_| config.listen_fd.is_some())?;
+    retry_blocking(|| SharedTable::open(&folder))
+        .inspect_err(|error| tracing::info!(%error, "request ids are not shared with another process"))
+        .ok()
+}
+
 /// Starts the shutdown, unless it has started already.
 fn request_stop(
     shutdown_sender: &watch::Sender<Option<ShutdownSchedule>>,
@@ -175,7 +186,9 @@
         discovery_attempted: discovery_attempted_receiver,
         shutdown: shutdown_receiver,
     };
-    let server = DownstreamServer::new(config.clone(), dispatcher_sender, signals, counters, memory);
+    let request_ids = RequestIds::new(config.limits.memory, open_request_id_table(&config));
+    let server =
+        DownstreamServer::new(config.clone(), dispatcher_sender, signals, counters, memory, request_ids);
     let mut server_task = tokio::spawn(server.run(listener));
 
     // While the last clients are served, SIGHUP may still change discovery's address, and another SIGTERM or SIGINT
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -268,8 +268,8 @@
     assert_eq!(send_duplicate().read_response().unwrap().status(), 409);
     drop(first);
     upstream.wait_for_close();
-    let _third = send_duplicate();
-    upstream.next_request(); // the id may be used again
+    assert_eq!(send_duplicate().read_response().unwrap().status(), 409, "the request may have run");
+    assert_eq!(upstream.take_request_count(), 0);
     let mut client = program.connect();
     client.write(&duplicate.replace("X-Budget", "X-Call-Id: 9b1f03aa5c7e2d42\r\nX-Budget"));
     assert_eq!(client.read_response().unwrap().status(), 400);
