Log a reason for each close, retry, refusal and failed attempt, with the request's id

What operators saw: the log of the incident had two lines a process, and told neither who was refused nor why a connection ended.

Change: failed attempts, retries, rejections, refusals, responses of the balancer's own, clients that leave, and ends of client connections have a line each, with the X-Call-Id where a request is known.

--- a/src/proxy/dispatcher/attempts.rs
+++ b/src/proxy/dispatcher/attempts.rs
@@ -57,6 +57,10 @@
         let Some(connection_source) = self.idle_pool.acquire(endpoint) else {
             return self.queue_not_sent(id, number);
         };
+        if number > 0 {
+            let (id, endpoint) = (pending_request.request_id_guard.text(), endpoint.0);
+            tracing::info!(id, attempt = number, endpoint, "request retried after a failed attempt");
+        }
         let request = upstream_request(&pending_request.request, address);
         let (cancel_sender, cancelled) = oneshot::channel::<()>();
         let write_started = Arc::new(AtomicBool::new(false));
@@ -238,7 +242,8 @@
         }
         if result.outcome != AttemptOutcome::Success {
             let (endpoint, outcome) = (attempt.endpoint.0, result.outcome);
-            tracing::info!(request = id.0, attempt = number, endpoint, ?outcome, "attempt failed");
+            let id = pending_request.request_id_guard.text();
+            tracing::info!(id, attempt = number, endpoint, ?outcome, "attempt failed");
         }
         let (class, body_consumed) =
             (pending_request.class, pending_request.request.body().has_read_started());
--- a/src/proxy/dispatcher/requests.rs
+++ b/src/proxy/dispatcher/requests.rs
@@ -2,6 +2,7 @@
 
 use super::{AttemptInFlight, DEADLINE_GUARD_DELAY, Dispatcher, PendingRequest};
 use crate::proxy::messages::{ClientRequest, FinalResponse, ReceivedRequest};
+use crate::proxy::metrics::RequestOutcome;
 use balancer::decision::{Event, IncomingRequest, RequestId};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
@@ -61,6 +62,10 @@
     /// Ends a request whose client has disconnected, unless it has its final response.
     pub(super) fn on_client_disconnected(&mut self, id: RequestId) {
         if self.take_response_sender(id).is_some() {
+            if let Some(pending_request) = self.requests.get(&id) {
+                let (id, attempts) = (pending_request.request_id_guard.text(), pending_request.attempts);
+                tracing::info!(id, attempts, "request ended, as its client has disconnected");
+            }
             self.handle_event(Event::ClientDisconnected(id));
             self.remove_if_finished(id);
         }
@@ -89,8 +94,7 @@
         if let Some((sender, class)) = self.take_response_sender(id) {
             let outcome = response.outcome();
             if !matches!(response, FinalResponse::Served(_)) {
-                let attempts = self.requests.get(&id).map_or(0, |pending_request| pending_request.attempts);
-                tracing::info!(request = id.0, attempts, ?outcome, "no response of an upstream");
+                self.log_own_response(id, outcome);
             }
             // Fails if the client has just disconnected; the request is not counted then.
             if sender.send(response).is_ok() {
@@ -100,6 +104,14 @@
         self.remove_if_finished(id);
     }
 
+    /// Logs that a request gets a response of the balancer itself.
+    fn log_own_response(&self, id: RequestId, outcome: RequestOutcome) {
+        if let Some(pending_request) = self.requests.get(&id) {
+            let (id, attempts) = (pending_request.request_id_guard.text(), pending_request.attempts);
+            tracing::info!(id, attempts, ?outcome, "request ended without a response of an upstream");
+        }
+    }
+
     /// Removes a request once nobody waits for its response any more and no attempt is in flight.
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|pending_request| {
--- a/src/proxy/downstream/client_task.rs
+++ b/src/proxy/downstream/client_task.rs
@@ -52,8 +52,14 @@
         let reason = catch_panic(self.serve_requests(stream, graceful_shutdown))
             .await
             .unwrap_or(CloseReason::Panicked);
-        if reason == CloseReason::Panicked {
-            tracing::info!("the task that serves a client connection has panicked");
+        match reason {
+            CloseReason::Panicked => tracing::info!("the task that serves a client connection has panicked"),
+            CloseReason::Done => {
+                let is_evicted = self.client.is_evicted.load(Ordering::Relaxed);
+                let is_draining = self.server.draining.load(Ordering::Relaxed);
+                tracing::info!(client = self.client_id, is_evicted, is_draining, "client connection ended");
+            }
+            _ => tracing::info!(client = self.client_id, ?reason, "client connection closed"),
         }
         self.client.connection.close(reason, self.client.eviction_notify.notified()).await;
     }
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -124,6 +124,7 @@
             Ok(response) => response,
             Err(RequestFailure::Rejected { class, reason }) => self.reject(class, reason),
             Err(RequestFailure::Invalid(code, message)) => {
+                tracing::info!(status = code.as_u16(), reason = message.trim_end(), "request not accepted");
                 let mut response = Response::new(ResponseBody::from(Bytes::from_static(message.as_bytes())));
                 *response.status_mut() = code;
                 response
--- a/src/proxy/request_ids.rs
+++ b/src/proxy/request_ids.rs
@@ -14,6 +14,8 @@
 
 /// The ids of finished requests may use the memory limit divided by this.
 const MEMORY_SHARE_DIVISOR: usize = 64;
+/// Maximum length of the part of an id that is logged, in characters.
+const MAX_LOGGED_LENGTH: usize = 40;
 /// Memory of the id of a finished request, in bytes: in the set and in the queue.
 const FINISHED_ID_BYTES: usize = 32;
 
@@ -44,12 +46,14 @@
 
     /// Claims the id of a request, or returns `None` if a request with this id is open or may have run.
     pub fn claim(self: &Arc<Self>, id: &str) -> Option<RequestIdGuard> {
-        let id = IdHash::new(id);
-        if !lock(&self.known).ids.insert(id) {
+        let hash = IdHash::new(id);
+        if !lock(&self.known).ids.insert(hash) {
             return None;
         }
-        let guard = RequestIdGuard { ids: self.clone(), id, may_have_run: AtomicBool::new(false) };
-        let is_free = self.shared.as_ref().is_none_or(|shared| shared.claim(id));
+        let may_have_run = AtomicBool::new(false);
+        let text = id.chars().take(MAX_LOGGED_LENGTH).collect();
+        let guard = RequestIdGuard { ids: self.clone(), text, hash, may_have_run };
+        let is_free = self.shared.as_ref().is_none_or(|shared| shared.claim(hash));
         is_free.then_some(guard)
     }
 
@@ -82,11 +86,18 @@
 /// The claim of a request's id. Held for as long as the request may still be sent or is being sent.
 pub struct RequestIdGuard {
     ids: Arc<RequestIds>,
-    id: IdHash,
+    /// The start of the id as its client gave it, for the log.
+    text: Box<str>,
+    hash: IdHash,
     may_have_run: AtomicBool,
 }
 
 impl RequestIdGuard {
+    /// The start of the id as its client gave it.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
     /// Records that the request may have run at an upstream.
     pub fn mark_may_have_run(&self) {
         self.may_have_run.store(true, Ordering::Relaxed);
@@ -95,7 +106,7 @@
 
 impl Drop for RequestIdGuard {
     fn drop(&mut self) {
-        self.ids.release(self.id, self.may_have_run.load(Ordering::Relaxed));
+        self.ids.release(self.hash, self.may_have_run.load(Ordering::Relaxed));
     }
 }
 
