Announce the close in the stand-in of long responses in lumps

The stand-in closed its connection after a response without saying so, and the next request, of a class that must not be repeated, was sometimes written to it and got 502: 'post: 108801 of 135332 bytes, then 1.9s: (502, 0)'. It announces the close now; no bound changed.

--- a/tests/final_answers.rs
+++ b/tests/final_answers.rs
@@ -230,10 +230,15 @@
                 threads.push(std::thread::spawn(move || {
                     let body = vec![b'a'; length];
                     let (first, rest) = body.split_at(first_length);
+                    // The upstream closes its connection, which must not be used for the next request.
+                    let closing = |head: &str| head.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
                     let pieces = match is_chunked {
-                        false => vec![[head_with_length(length).as_bytes(), first].concat(), rest.to_vec()],
+                        false => vec![
+                            [closing(&head_with_length(length)).as_bytes(), first].concat(),
+                            rest.to_vec(),
+                        ],
                         true => vec![
-                            [CHUNKED_HEAD.as_bytes(), &chunk(first)].concat(),
+                            [closing(CHUNKED_HEAD).as_bytes(), &chunk(first)].concat(),
                             [chunk(rest), b"0\r\n\r\n".to_vec()].concat(),
                         ],
                     };
