--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -15,7 +15,7 @@
 /// Memory of a process outside the heap, in bytes: program text, stacks, and what other threads' heaps hold.
 const PROCESS_BYTES: usize = 4 << 20;
 /// The allocator may hold the memory limit divided by this beyond what is allocated.
-const FRAGMENTATION_SHARE_DIVISOR: usize = 10;
+const FRAGMENTATION_SHARE_DIVISOR: usize = 9;
 /// Memory of a client connection, in bytes: its task, hyper's buffers for heads, and the head of its request.
 pub const CLIENT_CONNECTION_BYTES: usize = 20 << 10;
 /// Number of header fields of a request that the memory of its two connections includes.
@@ -32,13 +32,15 @@
 /// Buffered bodies may use the memory limit divided by this.
 const BUFFER_SHARE_DIVISOR: usize = 4;
 /// Connections and streams leave the memory limit divided by this to the buffers of short requests.
-const SHORT_REQUEST_SHARE_DIVISOR: usize = 10;
+const SHORT_REQUEST_SHARE_DIVISOR: usize = 12;
 /// Buffers and requests with many header fields leave the memory limit divided by this to other requests. Connections with a partial request are
 /// closed once less is left.
 const HEAD_SHARE_DIVISOR: usize = 16;
 /// Streams leave the connections to upstreams divided by this to short requests.
-const SHORT_REQUEST_CONNECTION_DIVISOR: usize = 16;
+const SHORT_REQUEST_CONNECTION_DIVISOR: usize = 10;
 
+/// Connections to upstreams may exceed the limit on all reservations by the memory limit divided by this.
+const UPSTREAM_EXCESS_DIVISOR: usize = 32;
 /// Memory counts as scarce once all reservations, or those for buffered bodies, exceed their maximum divided by this.
 const SCARCITY_DIVISOR: usize = 8;
 /// Memory is short for further streams if less than the memory limit divided by this is left for them.
@@ -196,6 +198,15 @@
         lock(&self.reservations).fits(Purpose::Connection, bytes, (self.live_bytes)())
     }
 
+    /// Whether one more connection to an upstream may be opened for a request that was admitted. Requests that are admitted
+    /// at once do not know of each other's connections, so that these may exceed the limit, but not by much.
+    pub fn may_open_upstream_connection(&self) -> bool {
+        let excess = self.memory_limit / UPSTREAM_EXCESS_DIVISOR;
+        let reservations = lock(&self.reservations);
+        reservations.used((self.live_bytes)()) + UPSTREAM_CONNECTION_BYTES
+            <= reservations.limits.total + excess
+    }
+
     /// Reserves the memory of a connection that exists already, whether or not it fits.
     pub fn reserve_connection(self: &Arc<Self>, bytes: usize) -> MemoryPermit {
         lock(&self.reservations).add(Purpose::Connection, bytes);
@@ -405,6 +416,8 @@
         let fits = self.budget.try_add(self.purpose, bytes);
         if fits {
             self.bytes += bytes;
+        } else {
+            self.budget.check_exhaustion();
         }
         fits
     }
--- a/src/proxy/downstream/admission.rs
+++ b/src/proxy/downstream/admission.rs
@@ -257,6 +257,7 @@
     /// Starts serving an accepted connection, evicting an idle one if the limit is reached.
     pub fn accept_client(self: &Arc<Self>, tcp: TcpStream, graceful_shutdown: &watch::Receiver<bool>) {
         tcp.set_nodelay(true).ok();
+        self.memory.check_exhaustion();
         let has_slot = self.client_count() < self.config.limits.clients || self.evict_idle();
         if !has_slot {
             self.memory.refuse_waiting_streams();
--- a/src/proxy/upstream/pool.rs
+++ b/src/proxy/upstream/pool.rs
@@ -1,6 +1,6 @@
 //! The pool of idle upstream connections, and the limit on the number of open connections.
 
-use crate::proxy::body::memory::{MemoryBudget, UPSTREAM_CONNECTION_BYTES};
+use crate::proxy::body::memory::MemoryBudget;
 use crate::proxy::upstream::connection::Connection;
 use crate::proxy::upstream::permit::{ConnectionPermit, SharedConnectionState};
 use balancer::decision::EndpointId;
@@ -86,7 +86,7 @@
     pub fn make_room(&mut self) -> bool {
         let is_full = |pool: &Self| {
             pool.shared.open.load(Ordering::Relaxed) >= pool.max_open
-                || !pool.shared.memory.has_room_for_connection(UPSTREAM_CONNECTION_BYTES)
+                || !pool.shared.memory.may_open_upstream_connection()
         };
         if is_full(self) {
             self.close_oldest();
