Let short requests wait a moment for memory, and leave more to the allocator

Cause: bytes of buffered bodies that had come already are reserved whether or not they fit, and those reservations, which exceed what is allocated, refused short requests. A short request was refused while connections were being closed for it. The allocator held more beyond the live allocations than its share.

Change: a request with a head of usual size is measured by the live allocations, with a looser bound on the reservations, and waits for up to 0.1 s. The allocator has an eighth of the limit, and connections to upstreams may exceed it by a sixty-fourth.

--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -10,12 +10,12 @@
 use std::fmt;
 use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
-use tokio::time::{Duration, Instant, sleep_until};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
 
 /// Memory of a process outside the heap, in bytes: program text, stacks, and what other threads' heaps hold.
 const PROCESS_BYTES: usize = 4 << 20;
 /// The allocator may hold the memory limit divided by this beyond what is allocated.
-const FRAGMENTATION_SHARE_DIVISOR: usize = 9;
+const FRAGMENTATION_SHARE_DIVISOR: usize = 8;
 /// Memory of a client connection, in bytes: its task, hyper's buffers for heads, and the head of its request.
 pub const CLIENT_CONNECTION_BYTES: usize = 20 << 10;
 /// Number of header fields of a request that the memory of its two connections includes.
@@ -32,7 +32,7 @@
 /// Buffered bodies may use the memory limit divided by this.
 const BUFFER_SHARE_DIVISOR: usize = 4;
 /// Connections and streams leave the memory limit divided by this to the buffers of short requests.
-const SHORT_REQUEST_SHARE_DIVISOR: usize = 12;
+const SHORT_REQUEST_SHARE_DIVISOR: usize = 14;
 /// Buffers and requests with many header fields leave the memory limit divided by this to other requests. Connections with a partial request are
 /// closed once less is left.
 const HEAD_SHARE_DIVISOR: usize = 16;
@@ -40,7 +40,7 @@
 const SHORT_REQUEST_CONNECTION_DIVISOR: usize = 10;
 
 /// Connections to upstreams may exceed the limit on all reservations by the memory limit divided by this.
-const UPSTREAM_EXCESS_DIVISOR: usize = 32;
+const UPSTREAM_EXCESS_DIVISOR: usize = 64;
 /// Memory counts as scarce once all reservations, or those for buffered bodies, exceed their maximum divided by this.
 const SCARCITY_DIVISOR: usize = 8;
 /// Memory is short for further streams if less than the memory limit divided by this is left for them.
@@ -52,6 +52,10 @@
 /// How long a stream waits for released memory while memory is exhausted.
 const EXHAUSTION_WAIT: Duration = Duration::from_millis(50);
 
+/// How long a request with a head of usual size waits for memory, and how often it tries to get some meanwhile.
+const REQUEST_MEMORY_WAIT: Duration = Duration::from_millis(100);
+const REQUEST_MEMORY_TRIES: u32 = 10;
+
 /// A stream, by what it forwards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stream {
@@ -100,6 +104,9 @@
 struct BudgetLimits {
     /// Maximum for all reservations together.
     total: usize,
+    /// Maximum for all reservations together with which a request with a head of usual size may begin. Reservations exceed
+    /// what is allocated, so that this may be more than `total`.
+    reserved: usize,
     /// Maximum for connections, requests and streams with which another stream may begin.
     streams: usize,
     /// Maximum for buffered bodies.
@@ -115,6 +122,7 @@
         let total = memory.saturating_sub(PROCESS_BYTES + memory / FRAGMENTATION_SHARE_DIVISOR);
         Self {
             total,
+            reserved: total + memory / HEAD_SHARE_DIVISOR,
             streams: total.saturating_sub(memory / SHORT_REQUEST_SHARE_DIVISOR),
             buffers: memory / BUFFER_SHARE_DIVISOR,
             total_for_large: total.saturating_sub(memory / HEAD_SHARE_DIVISOR),
@@ -202,9 +210,8 @@
     /// at once do not know of each other's connections, so that these may exceed the limit, but not by much.
     pub fn may_open_upstream_connection(&self) -> bool {
         let excess = self.memory_limit / UPSTREAM_EXCESS_DIVISOR;
-        let reservations = lock(&self.reservations);
-        reservations.used((self.live_bytes)()) + UPSTREAM_CONNECTION_BYTES
-            <= reservations.limits.total + excess
+        let live_bytes = (self.live_bytes)().saturating_sub(excess);
+        lock(&self.reservations).fits(Purpose::Request, UPSTREAM_CONNECTION_BYTES, live_bytes)
     }
 
     /// Reserves the memory of a connection that exists already, whether or not it fits.
@@ -234,6 +241,19 @@
         MemoryPermit { budget: self.clone(), purpose: Purpose::Buffer, bytes: 0 }
     }
 
+    /// Reserves the memory of a request as `try_reserve_request` does, and waits a moment for it if the head is of usual
+    /// size: connections are closed meanwhile.
+    pub async fn reserve_request(self: &Arc<Self>, field_count: usize) -> Option<MemoryPermit> {
+        let end = Instant::now() + REQUEST_MEMORY_WAIT;
+        loop {
+            let permit = self.try_reserve_request(field_count);
+            if permit.is_some() || field_count > INCLUDED_FIELDS || Instant::now() >= end {
+                return permit;
+            }
+            sleep(REQUEST_MEMORY_WAIT / REQUEST_MEMORY_TRIES).await;
+        }
+    }
+
     /// Reserves the memory of a stream, or returns `None` if it does not fit.
     pub fn try_reserve_stream(self: &Arc<Self>, stream: Stream) -> Option<MemoryPermit> {
         let (purpose, bytes) = (Purpose::Stream, stream.bytes());
@@ -254,8 +274,7 @@
 
     /// Whether memory is short for short requests, too.
     pub fn is_exhausted(&self) -> bool {
-        let bytes = self.memory_limit / HEAD_SHARE_DIVISOR;
-        !lock(&self.reservations).fits(Purpose::Request, bytes, (self.live_bytes)())
+        !lock(&self.reservations).fits(Purpose::LargeRequest, 0, (self.live_bytes)())
     }
 
     /// Has a shortage relieved if memory is exhausted, whoever has used it up.
@@ -353,7 +372,9 @@
         let used_with_stream = live_bytes.max(self.total + bytes);
         let limits = &self.limits;
         match purpose {
-            Purpose::Connection | Purpose::Request => used <= limits.total,
+            Purpose::Connection => used <= limits.total,
+            // What others have reserved beyond the limit for bytes that had come already hinders no short request.
+            Purpose::Request => live_bytes + bytes <= limits.total && self.total + bytes <= limits.reserved,
             Purpose::Stream => {
                 used_with_stream <= limits.total
                     && used_with_stream.saturating_sub(self.buffers) <= limits.streams
--- a/src/proxy/downstream/requests.rs
+++ b/src/proxy/downstream/requests.rs
@@ -158,7 +158,7 @@
             ));
         };
         let request_id_guard = Arc::new(request_id_guard);
-        let request_permit = self.memory.try_reserve_request(request.headers().len());
+        let request_permit = self.memory.reserve_request(request.headers().len()).await;
         let request_permit = request_permit.ok_or(RequestFailure::Rejected {
             class: parameters.class,
             reason: RejectionReason::NoRequestMemory,
