Record what a stand-in has received before it closes the connection

The stand-in closed its connection before it recorded the bytes, so that the response could come first. It records them first now; the check is unchanged.

--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -289,8 +289,10 @@
         let thread_lengths = received_lengths.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let received = stream.take(200_000).read_to_end(&mut Vec::new());
+                let mut start_of_request = stream.take(200_000);
+                let received = start_of_request.read_to_end(&mut Vec::new());
                 thread_lengths.lock().unwrap().push(received.unwrap_or(0));
+                drop(start_of_request); // the balancer responds once the connection is closed
             }
         });
         Self { address, received_lengths }
