Forget read checkpoints on connections whose requests are not streamed

The tracker of a client connection added a checkpoint for each 256 KiB read, and forgot them only while a streamed request was assessed, so that a connection in use for long took memory without end. Each new checkpoint forgets those that no assessment can need. a_connection_keeps_few_checkpoints failed before with 10,000 checkpoints for 10 GB read; the assessments are unchanged.

arrival's unit tests and request_arrival pass (debug build, arm64).

--- a/src/proxy/downstream/arrival.rs
+++ b/src/proxy/downstream/arrival.rs
@@ -87,6 +87,7 @@
             self.checkpoints.back().is_none_or(|(last, _)| position >= last + CHECKPOINT_DISTANCE);
         if is_checkpoint {
             self.checkpoints.push_back((position, now));
+            self.forget_checkpoints_before(position.saturating_sub(MAX_UNREAD));
         }
     }
 
@@ -116,10 +117,15 @@
 
     /// A time by which the bytes up to a position were not read yet, or only just. Forgets earlier checkpoints.
     fn time_of_read(&mut self, position: u64) -> Option<Instant> {
+        self.forget_checkpoints_before(position);
+        self.checkpoints.front().filter(|(first, _)| *first <= position).map(|(_, at)| *at)
+    }
+
+    /// Forgets the checkpoints before a position, apart from the last one of them.
+    fn forget_checkpoints_before(&mut self, position: u64) {
         while self.checkpoints.get(1).is_some_and(|(next, _)| *next <= position) {
             self.checkpoints.pop_front();
         }
-        self.checkpoints.front().filter(|(first, _)| *first <= position).map(|(_, at)| *at)
     }
 }
 
--- a/src/proxy/downstream/arrival/tests.rs
+++ b/src/proxy/downstream/arrival/tests.rs
@@ -86,3 +86,15 @@
         assert_eq!(arrival, Arrival::PossibleSince(expected), "{end:?}");
     }
 }
+
+/// Guards against memory that grows for as long as a connection is used.
+#[test]
+fn a_connection_keeps_few_checkpoints() {
+    let start = Instant::now();
+    let mut tracker = ArrivalTracker::new(start);
+    for mebibyte in 0..10_000 {
+        tracker.record_read(mebibyte * MIB, false, start);
+    }
+    let max_checkpoints = MAX_UNREAD / CHECKPOINT_DISTANCE + 2;
+    assert!(tracker.checkpoints.len() as u64 <= max_checkpoints, "{}", tracker.checkpoints.len());
+}
