Build lists of warm upstreams in one place, and name a limit and an interval plainly

Three test files built the same list of endpoints, which in_service did, too: in_service_at serves all of them. In the memory budget, a limit was called 'reserved', like a sum elsewhere, and a number of tries stood for an interval; try_reserve_request is private. Behaviour and checks are unchanged.

--- a/src/proxy/body/memory.rs
+++ b/src/proxy/body/memory.rs
@@ -33,8 +33,8 @@
 const BUFFER_SHARE_DIVISOR: usize = 4;
 /// Connections and streams leave the memory limit divided by this to the buffers of short requests.
 const SHORT_REQUEST_SHARE_DIVISOR: usize = 14;
-/// Buffers and requests with many header fields leave the memory limit divided by this to other requests. Connections with a partial request are
-/// closed once less is left.
+/// Buffers and requests with many header fields leave the memory limit divided by this to other requests. Connections
+/// with a partial request are closed once less is left.
 const HEAD_SHARE_DIVISOR: usize = 16;
 /// Streams leave the connections to upstreams divided by this to short requests.
 const SHORT_REQUEST_CONNECTION_DIVISOR: usize = 10;
@@ -52,9 +52,10 @@
 /// How long a stream waits for released memory while memory is exhausted.
 const EXHAUSTION_WAIT: Duration = Duration::from_millis(50);
 
-/// How long a request with a head of usual size waits for memory, and how often it tries to get some meanwhile.
+/// How long a request with a head of usual size waits for memory.
 const REQUEST_MEMORY_WAIT: Duration = Duration::from_millis(100);
-const REQUEST_MEMORY_TRIES: u32 = 10;
+/// Time between two tries of such a request to get memory.
+const REQUEST_MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A stream, by what it forwards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,7 +107,7 @@
     total: usize,
     /// Maximum for all reservations together with which a request with a head of usual size may begin. Reservations exceed
     /// what is allocated, so that this may be more than `total`.
-    reserved: usize,
+    total_for_requests: usize,
     /// Maximum for connections, requests and streams with which another stream may begin.
     streams: usize,
     /// Maximum for buffered bodies.
@@ -122,7 +123,7 @@
         let total = memory.saturating_sub(PROCESS_BYTES + memory / FRAGMENTATION_SHARE_DIVISOR);
         Self {
             total,
-            reserved: total + memory / HEAD_SHARE_DIVISOR,
+            total_for_requests: total + memory / HEAD_SHARE_DIVISOR,
             streams: total.saturating_sub(memory / SHORT_REQUEST_SHARE_DIVISOR),
             buffers: memory / BUFFER_SHARE_DIVISOR,
             total_for_large: total.saturating_sub(memory / HEAD_SHARE_DIVISOR),
@@ -222,7 +223,7 @@
 
     /// Reserves the memory of a request whose head has this many fields, or returns `None` if it does not fit beside one
     /// more connection to an upstream.
-    pub fn try_reserve_request(self: &Arc<Self>, field_count: usize) -> Option<MemoryPermit> {
+    fn try_reserve_request(self: &Arc<Self>, field_count: usize) -> Option<MemoryPermit> {
         let bytes = field_count.saturating_sub(INCLUDED_FIELDS) * FIELD_BYTES;
         if self.is_short() {
             self.shortage.notify_one();
@@ -250,7 +251,7 @@
             if permit.is_some() || field_count > INCLUDED_FIELDS || Instant::now() >= end {
                 return permit;
             }
-            sleep(REQUEST_MEMORY_WAIT / REQUEST_MEMORY_TRIES).await;
+            sleep(REQUEST_MEMORY_RETRY_INTERVAL).await;
         }
     }
 
@@ -374,7 +375,9 @@
         match purpose {
             Purpose::Connection => used <= limits.total,
             // What others have reserved beyond the limit for bytes that had come already hinders no short request.
-            Purpose::Request => live_bytes + bytes <= limits.total && self.total + bytes <= limits.reserved,
+            Purpose::Request => {
+                live_bytes + bytes <= limits.total && self.total + bytes <= limits.total_for_requests
+            }
             Purpose::Stream => {
                 used_with_stream <= limits.total
                     && used_with_stream.saturating_sub(self.buffers) <= limits.streams
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -341,10 +341,13 @@
 
 /// List entries `s-0`, `s-1`, ... for these upstreams, all in service.
 pub fn in_service(upstreams: &[&Upstream]) -> Vec<String> {
-    let in_service_target = |(index, upstream): (usize, &&Upstream)| {
-        target(&format!("s-{index}"), upstream.address, "in_service")
-    };
-    upstreams.iter().enumerate().map(in_service_target).collect()
+    in_service_at(upstreams.iter().map(|upstream| upstream.address))
+}
+
+/// List entries `s-0`, `s-1`, ... for the upstreams at these addresses, all in service.
+pub fn in_service_at(addresses: impl IntoIterator<Item = SocketAddr>) -> Vec<String> {
+    let addresses = addresses.into_iter().enumerate();
+    addresses.map(|(index, address)| target(&format!("s-{index}"), address, "in_service")).collect()
 }
 
 /// A configuration with one idempotent class (`look`), one with idempotency keys (`pay`) and one that is not
--- a/tests/memory_crowd.rs
+++ b/tests/memory_crowd.rs
@@ -77,11 +77,7 @@
 /// Plays a scenario, and returns what was observed in each life, with a description.
 fn play(scenario: &Scenario, seed: u64) -> Vec<(Observation, String)> {
     let upstreams: Vec<LongResponses> = (0..UPSTREAMS).map(|_| LongResponses::start()).collect();
-    let targets: Vec<String> = upstreams
-        .iter()
-        .enumerate()
-        .map(|(index, upstream)| target(&format!("s-{index}"), upstream.address, "in_service"))
-        .collect();
+    let targets = in_service_at(upstreams.iter().map(|upstream| upstream.address));
     let mut config = config(refusing_address(), &targets);
     config["limits"]["memory_mb"] = scenario.memory_mb.into();
     config["limits"]["sockets"] = scenario.sockets.into();
--- a/tests/request_arrival.rs
+++ b/tests/request_arrival.rs
@@ -143,7 +143,7 @@
             for class in ["pay", "post"] {
                 threads.push(std::thread::spawn(move || {
                     let upstream = slow_upstream(reading);
-                    let targets = [target("s-0", upstream, "in_service")];
+                    let targets = in_service_at([upstream]);
                     let program = Program::start(&config(refusing_address(), &targets));
                     let text = request_with_body(class, body_length, framing);
                     let Exchange { written_at, response, ended_at } =
@@ -180,7 +180,7 @@
     let threads = cases.map(|(body_length, client_rate, upstream_rate, framing)| {
         std::thread::spawn(move || {
             let upstream = slow_upstream(Reading::BytesPerSecond(upstream_rate));
-            let targets = [target("s-0", upstream, "in_service")];
+            let targets = in_service_at([upstream]);
             let program = Program::start(&config(refusing_address(), &targets));
             let text = request_with_body("post", body_length, framing);
             let started_at = Instant::now();
--- a/tests/stream_memory.rs
+++ b/tests/stream_memory.rs
@@ -188,11 +188,7 @@
     idle_connections: usize,
 ) -> RunResult {
     let upstreams: Vec<SlowUpstream> = (0..UPSTREAMS).map(|_| SlowUpstream::start()).collect();
-    let targets: Vec<String> = upstreams
-        .iter()
-        .enumerate()
-        .map(|(index, upstream)| target(&format!("s-{index}"), upstream.address, "in_service"))
-        .collect();
+    let targets = in_service_at(upstreams.iter().map(|upstream| upstream.address));
     let mut config = config(refusing_address(), &targets);
     config["limits"]["memory_mb"] = memory_mb.into();
     config["limits"]["sockets"] = sockets.into();
