--- a/review/stand_ins_2/common.rs
+++ b/review/stand_ins_2/common.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::{Arc, Condvar, Mutex};
@@ -514,6 +515,70 @@
     }
 }
 
+/// What the platform keeps for all processes of one balancer.
+pub struct Platform {
+    pub listener: TcpListener,
+    config_path: PathBuf,
+    folder: PathBuf,
+}
+
+impl Platform {
+    pub fn new(run: &Run) -> Self {
+        let Ok(listener) = TcpListener::bind("127.0.0.1:0") else { cannot_run("no free port") };
+        let folder = run.folder.join("shared.tmp");
+        fs::create_dir_all(&folder).ok();
+        Self { listener, config_path: run.folder.join("config.json"), folder }
+    }
+}
+
+/// An address that nobody listens on at present.
+fn free_address() -> SocketAddr {
+    let Ok(probe) = TcpListener::bind("127.0.0.1:0") else { cannot_run("no free port") };
+    probe.local_addr().unwrap()
+}
+
+fn spawn(
+    run: &Run,
+    name: &str,
+    command: &str,
+    config_path: &Path,
+    folder: &Path,
+    environment: &[(&str, String)],
+    input: Stdio,
+) -> Child {
+    let log = File::create(run.folder.join(format!("{name}.log"))).map(Stdio::from);
+    let child = Command::new("/bin/sh")
+        .args(["-c", command])
+        .current_dir(&run.root)
+        .env("LB_NAME", "n1")
+        .env("LB_CONFIG", config_path)
+        .env("TMPDIR", folder)
+        .envs(environment.iter().map(|(name, value)| (name, value)))
+        .stdin(input)
+        .stdout(Stdio::null())
+        .stderr(log.unwrap_or(Stdio::null()))
+        .spawn();
+    let Ok(child) = child else { cannot_run("the balancer cannot be started") };
+    fs::write(run.folder.join(format!("{name}.pid")), child.id().to_string()).ok();
+    child
+}
+
+/// Waits until a balancer answers a call of this path with 200.
+fn wait_until_ready(run: &Run, name: &str, address: SocketAddr, path: &str) {
+    let call = format!("GET {path} HTTP/1.1\r\nHost: lb\r\n\r\n");
+    let end = Instant::now() + ms(30_000);
+    loop {
+        let answer = Client::new(address).raw(call.as_bytes(), ms(2000));
+        if answer.is_ok_and(|answer| answer.status() == 200) {
+            return run.line(format!("{name}: ready, {path} at {address}"));
+        }
+        if Instant::now() > end {
+            cannot_run("the balancer is not ready within 30 s");
+        }
+        thread::sleep(ms(20));
+    }
+}
+
 /// A running balancer, killed when it is dropped.
 pub struct Balancer {
     child: Child,
@@ -530,43 +595,44 @@
         discovery: SocketAddr,
         known: &[(String, SocketAddr)],
     ) -> Self {
-        let Ok(probe) = TcpListener::bind("127.0.0.1:0") else { cannot_run("no free port") };
-        let address = probe.local_addr().unwrap();
-        drop(probe);
+        let address = free_address();
         let config_path = run.folder.join(format!("{name}.json"));
         let private = run.folder.join(format!("{name}.tmp"));
         fs::create_dir_all(&private).ok();
         fs::write(&config_path, deployment.config(address, discovery, known)).ok();
-        let log = File::create(run.folder.join(format!("{name}.log"))).map(Stdio::from);
-        let child = Command::new("/bin/sh")
-            .args(["-c", &run.command])
-            .current_dir(&run.root)
-            .env("LB_NAME", "n1")
-            .env("LB_LISTEN", address.to_string())
-            .env("LB_DISCOVERY", discovery.to_string())
-            .env("LB_CONFIG", &config_path)
-            .env("TMPDIR", &private)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.unwrap_or(Stdio::null()))
-            .spawn();
-        let Ok(child) = child else { cannot_run("the balancer cannot be started") };
-        fs::write(run.folder.join(format!("{name}.pid")), child.id().to_string()).ok();
-        let balancer = Self { child, address, config_path };
-        let end = Instant::now() + ms(30_000);
-        loop {
-            let mut health = Client::new(address);
-            let answer = health.raw(b"GET /healthz HTTP/1.1\r\nHost: lb\r\n\r\n", ms(2000));
-            if answer.is_ok_and(|answer| answer.status() == 200) {
-                break;
-            }
-            if Instant::now() > end {
-                cannot_run("the balancer is not ready within 30 s");
-            }
-            thread::sleep(ms(50));
-        }
-        run.line(format!("{name}: ready at {address}"));
-        balancer
+        let environment = [("LB_LISTEN", address.to_string()), ("LB_DISCOVERY", discovery.to_string())];
+        let child = spawn(run, name, &run.command, &config_path, &private, &environment, Stdio::null());
+        wait_until_ready(run, name, address, "/healthz");
+        Self { child, address, config_path }
+    }
+
+    /// Starts a process of a balancer whose listening socket is held by the platform, and waits until it says yes. All
+    /// processes of the balancer have the same configuration and the same folder, and each has an address for operators.
+    pub fn start_process(
+        run: &Arc<Run>,
+        name: &str,
+        platform: &Platform,
+        deployment: &Deployment,
+        discovery: SocketAddr,
+        known: &[(String, SocketAddr)],
+    ) -> Self {
+        let address = platform.listener.local_addr().unwrap();
+        let operators = free_address();
+        fs::write(&platform.config_path, deployment.config(address, discovery, known)).ok();
+        let environment = [
+            ("LB_LISTEN", address.to_string()),
+            ("LB_DISCOVERY", discovery.to_string()),
+            ("LB_ADMIN_ADDR", operators.to_string()),
+            ("LB_LISTEN_FD", "3".to_owned()),
+        ];
+        let Ok(listener) = platform.listener.try_clone() else { cannot_run("the listener cannot be shared") };
+        // The socket is handed over as the standard input, and moved to descriptor 3.
+        let command = format!("exec 3<&0 0</dev/null; {}", run.command);
+        let listener = Stdio::from(OwnedFd::from(listener));
+        let (config_path, folder) = (&platform.config_path, &platform.folder);
+        let child = spawn(run, name, &command, config_path, folder, &environment, listener);
+        wait_until_ready(run, name, operators, "/control/ready");
+        Self { child, address, config_path: config_path.clone() }
     }
 
     /// Sends a signal, by its name.
