--- a/review/stand_ins_2/common.rs
+++ b/review/stand_ins_2/common.rs
@@ -531,6 +531,11 @@
     }
 }
 
+/// The file that names a running process, for `run.sh` to end it if the case is ended early.
+fn pid_path(run: &Run, name: &str) -> PathBuf {
+    run.folder.join(format!("{name}.pid"))
+}
+
 /// An address that nobody listens on at present.
 fn free_address() -> SocketAddr {
     let Ok(probe) = TcpListener::bind("127.0.0.1:0") else { cannot_run("no free port") };
@@ -559,7 +564,7 @@
         .stderr(log.unwrap_or(Stdio::null()))
         .spawn();
     let Ok(child) = child else { cannot_run("the balancer cannot be started") };
-    fs::write(run.folder.join(format!("{name}.pid")), child.id().to_string()).ok();
+    fs::write(pid_path(run, name), child.id().to_string()).ok();
     child
 }
 
@@ -584,6 +589,7 @@
     child: Child,
     pub address: SocketAddr,
     config_path: PathBuf,
+    pid_path: PathBuf,
 }
 
 impl Balancer {
@@ -603,7 +609,7 @@
         let environment = [("LB_LISTEN", address.to_string()), ("LB_DISCOVERY", discovery.to_string())];
         let child = spawn(run, name, &run.command, &config_path, &private, &environment, Stdio::null());
         wait_until_ready(run, name, address, "/healthz");
-        Self { child, address, config_path }
+        Self { child, address, config_path, pid_path: pid_path(run, name) }
     }
 
     /// Starts a process of a balancer whose listening socket is held by the platform, and waits until it says yes. All
@@ -632,7 +638,7 @@
         let (config_path, folder) = (&platform.config_path, &platform.folder);
         let child = spawn(run, name, &command, config_path, folder, &environment, listener);
         wait_until_ready(run, name, operators, "/control/ready");
-        Self { child, address, config_path: config_path.clone() }
+        Self { child, address, config_path: config_path.clone(), pid_path: pid_path(run, name) }
     }
 
     /// Sends a signal, by its name.
@@ -651,6 +657,7 @@
     pub fn stop(&mut self) {
         self.child.kill().ok();
         self.child.wait().ok();
+        fs::remove_file(&self.pid_path).ok();
     }
 }
 
