Tell long responses of unknown length from endless ones by a token bucket

Callers saw two faults of responses without a length. Both are one decision: with under 64 KiB received, the bytes alone do not tell which of the two it is.

Cause: a rate of 1,000 bytes a second over windows that began anew, first over 0.35 s. The window was shorter than the pauses that are allowed, and forgot what had come before; the rate was far below that of any long response, to make up for that.

Change: a token bucket, which the received bytes fill at 5,000 bytes a second up to 3 s and the wait for the upstream drains. It is sans-IO, in decision/response_limit.rs. What ends a response of known length keeps its bounds, but for a short one that is streamed for lack of memory: it ends 0.35 s past the deadline at any rate.

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -23,6 +23,7 @@
 mod rejections;
 mod request_lifecycle;
 mod request_table;
+mod response_limit;
 mod retry;
 mod settings;
 mod slow_start;
@@ -34,6 +35,10 @@
     AttemptEnd, AttemptOutcome, Duration, EndpointEntry, EndpointId, EndpointState, Event, IncomingRequest,
     LoadReport, RequestId, Time, ZoneId,
 };
+pub use response_limit::{
+    FINAL_RESPONSE_DELAY, MAX_PAUSE, MAX_RESPONSE_SILENCE, MAX_SHORT_RESPONSE, PauseTolerance,
+    REDUCED_MAX_PAUSE, ResponseLimit,
+};
 pub use settings::{DeduplicationGroup, Idempotency, RequestClass, Settings, SettingsError, Tenant};
 
 use endpoint_list::{EndpointListWatch, WATCH_TOKEN};
--- a/src/proxy/body/mod.rs
+++ b/src/proxy/body/mod.rs
@@ -12,7 +12,7 @@
 
 /// Largest body, in bytes, that is buffered as a whole. A buffered request can be sent again. The outcome of a buffered
 /// response is known before the client receives any of it. The latency of a longer response is that of its first bytes.
-pub const MAX_BUFFERED_BODY: usize = 64 << 10;
+pub const MAX_BUFFERED_BODY: usize = balancer::decision::MAX_SHORT_RESPONSE as usize;
 
 /// How much of a request's body is buffered before the request is dispatched, in bytes, if the body is known to be longer
 /// than [`MAX_BUFFERED_BODY`] and memory is scarce. Nothing of such a response is buffered.
--- a/src/proxy/body/response_body.rs
+++ b/src/proxy/body/response_body.rs
@@ -3,7 +3,7 @@
 use crate::proxy::body::BodyAborted;
 use crate::proxy::body::memory::MemoryPermit;
 use crate::proxy::body::write_backpressure::WriteBackpressure;
-use crate::proxy::minimum_rate::MinimumRate;
+use crate::proxy::minimum_rate::{MinimumRate, PauseHistory};
 use crate::proxy::upstream::connection::Connection;
 use crate::proxy::upstream::exchange::AttemptResult;
 use balancer::decision::AttemptOutcome;
@@ -54,19 +54,20 @@
 
 impl ResponseBody {
     /// Creates a body from its buffered start and the rest that is received over a connection. The body is aborted if
-    /// no more of it is received, or if it is slower than the minimum rate after `request_deadline`. `on_end` is called
-    /// with the result of the attempt.
+    /// no more of it is received, or if it is slower than the minimum rate after `request_deadline`. `pauses` belongs to
+    /// the upstream. `on_end` is called with the result of the attempt.
     pub fn streamed(
         buffered: Bytes,
         body: Incoming,
         connection: Connection,
         memory_permit: MemoryPermit,
         request_deadline: Option<Instant>,
+        pauses: Arc<PauseHistory>,
         on_end: AttemptEndCallback,
     ) -> Self {
         let received = buffered.len() as u64;
         let length = body.size_hint().exact().map(|remaining| received + remaining);
-        let rate = MinimumRate::new(request_deadline, received, length);
+        let rate = MinimumRate::new(request_deadline, received, length, pauses);
         let streamed = StreamedResponse {
             body,
             connection: Some(connection),
--- a/src/proxy/dispatcher/attempts.rs
+++ b/src/proxy/dispatcher/attempts.rs
@@ -209,13 +209,26 @@
         let attempt = pending_request.and_then(|pending_request| {
             pending_request.attempts_in_flight.iter_mut().find(|attempt| attempt.number == number)
         });
+        let endpoint = attempt.as_ref().map(|attempt| attempt.endpoint);
+        let pauses = endpoint
+            .filter(|endpoint| self.endpoints.contains_key(endpoint))
+            .map(|endpoint| self.response_pauses.entry(endpoint).or_default().clone())
+            .unwrap_or_default();
         let dispatcher_sender = self.dispatcher_sender.clone();
         let on_end = Box::new(move |result| {
             dispatcher_sender.send(DispatcherMessage::AttemptEnded(id, number, result)).ok();
         });
         let StartedResponse { head, body, connection, memory_permit } = started;
         let streamed = |buffered| {
-            ResponseBody::streamed(buffered, body, connection, memory_permit, request_deadline, on_end)
+            ResponseBody::streamed(
+                buffered,
+                body,
+                connection,
+                memory_permit,
+                request_deadline,
+                pauses,
+                on_end,
+            )
         };
         let response = FinalResponse::Served(head.map(streamed));
         if let Some(attempt) = attempt {
--- a/src/proxy/dispatcher/endpoint_list.rs
+++ b/src/proxy/dispatcher/endpoint_list.rs
@@ -52,7 +52,10 @@
             }
             is_kept || offline.contains(uid) // an endpoint taken offline stays offline when it is listed again
         });
-        removed.into_iter().for_each(|endpoint| self.cancel_unwritten_attempts(endpoint));
+        for endpoint in removed {
+            self.response_pauses.remove(&endpoint);
+            self.cancel_unwritten_attempts(endpoint);
+        }
         let removed_uids = &mut self.removed_uids;
         removed_uids.drain(..removed_uids.len().saturating_sub(MAX_REMOVED_UIDS));
         self.prune_start_times();
--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -18,6 +18,7 @@
 use crate::proxy::downstream::connection::ClientLiveness;
 use crate::proxy::messages::{DispatcherMessage, FinalResponse};
 use crate::proxy::metrics::{self, Counters};
+use crate::proxy::minimum_rate::PauseHistory;
 use crate::proxy::orders::OfflineList;
 use crate::proxy::request_ids::RequestIdGuard;
 use crate::proxy::shared_folder::{FolderState, SharedFolder};
@@ -148,6 +149,8 @@
     last_endpoint_id: u32,
     /// The listed endpoints.
     endpoints: HashMap<EndpointId, Upstream>,
+    /// How the pauses within the responses of listed endpoints ended.
+    response_pauses: HashMap<EndpointId, Arc<PauseHistory>>,
     idle_pool: IdlePool,
     memory: Arc<MemoryBudget>,
     /// The schedule of the shutdown, once a stop is requested.
@@ -209,6 +212,7 @@
             endpoint_ids: HashMap::new(),
             last_endpoint_id: 0,
             endpoints: HashMap::new(),
+            response_pauses: HashMap::new(),
             idle_pool,
             memory,
             shutdown,
