Leave requests that follow an open one in the kernel instead of dropping them

Cause: what followed an open request was read to see the client's FIN behind it, and dropped beyond the read buffer of 16 KiB.

Change: once the read buffer is full, nothing more is read until the requests in front are answered. The time of a request in the kernel runs from the look that first counted it.

--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -104,7 +104,14 @@
                 if framing.eof_received {
                     return;
                 }
-                framing.read(&self.tcp)
+                (!framing.is_read_buffer_full()).then(|| framing.read(&self.tcp))
+            };
+            let Some(read) = read else {
+                if self.is_disconnected_behind_unread() {
+                    return;
+                }
+                sleep(ARRIVAL_CHECK_INTERVAL).await;
+                continue;
             };
             match read {
                 Err(error) if is_shortage(&error) => sleep(SHORTAGE_PAUSE).await,
@@ -115,6 +122,21 @@
     }
 }
 
+impl ClientConnection {
+    /// Whether the client has disconnected behind the bytes that wait in the kernel while the read buffer is full.
+    fn is_disconnected_behind_unread(&self) -> bool {
+        let unread = ioctl_fionread(&*self.tcp).unwrap_or(0);
+        lock(&self.framing).record_unread(unread);
+        matches!(socket_state(&self.tcp), SocketState::Closed) || hides_disconnect(unread)
+    }
+}
+
+/// Whether this many bytes in the kernel may keep the client's FIN from arriving, as the window may be closed. A regular client
+/// does not send so much ahead, and counts as disconnected.
+fn hides_disconnect(unread: u64) -> bool {
+    unread >= OPEN_WINDOW
+}
+
 /// Shows whether a client is still connected. Does not keep the socket open, as an attempt may outlive its client.
 #[derive(Clone)]
 pub struct ClientLiveness {
@@ -127,14 +149,15 @@
     /// only at its next poll, and a read returns it only after all bytes that were received before.
     ///
     /// While the receive buffer is full, the client cannot send its FIN. The bytes that follow the request are
-    /// therefore read here if the whole request was received, according to `request_complete` or to the framing state.
+    /// therefore read here, as far as the read buffer has room, if the whole request was received, according to
+    /// `request_complete` or to the framing state.
     pub fn is_disconnected(&self, request_complete: bool) -> bool {
         let (Some(tcp), Some(framing)) = (self.tcp.upgrade(), self.framing.upgrade()) else { return true };
         let mut framing = lock(&framing);
         let may_read_pipelined = request_complete || framing.phase == Phase::Complete;
         let mut buffer = [0; MAX_HEAD_SIZE];
         loop {
-            if framing.eof_received || framing.exceeds_pipelined_limit() {
+            if framing.eof_received {
                 return true;
             }
             match socket_state(&tcp) {
@@ -143,7 +166,13 @@
                 SocketState::Readable if !may_read_pipelined => return false,
                 SocketState::Readable => {}
             }
-            match (&*SockRef::from(&*tcp)).read(&mut buffer) {
+            let length = framing.free_space().min(buffer.len());
+            if length == 0 {
+                let unread = ioctl_fionread(&*tcp).unwrap_or(0);
+                framing.record_unread(unread);
+                return hides_disconnect(unread);
+            }
+            match (&*SockRef::from(&*tcp)).read(&mut buffer[..length]) {
                 Ok(length) => framing.append_pipelined(&buffer[..length]),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -232,6 +261,9 @@
                 return Poll::Ready(Ok(()));
             }
             framing.read_waker = Some(cx.waker().clone());
+            if framing.is_read_buffer_full() {
+                return Poll::Pending; // until the response is finished
+            }
             if tcp.poll_read_ready(cx)?.is_pending() {
                 framing.read_wait_since.get_or_insert_with(Instant::now);
                 return Poll::Pending;
--- a/src/proxy/downstream/request_framing.rs
+++ b/src/proxy/downstream/request_framing.rs
@@ -22,15 +22,10 @@
     ForCompleteRequest,
 }
 
-/// Maximum bytes that may follow a request before its response. Beyond that, the client counts as disconnected and no
-/// further attempt is made for the request: a regular client sends one request at a time. The limit is below the number
-/// of bytes that the kernel buffers for a connection that is not read. Up to the limit, the client's FIN is seen;
-/// beyond it, the FIN may wait in the client's send queue.
-pub const MAX_PIPELINED_BYTES: u64 = 48 << 10;
 /// Maximum size of a request head, in bytes. Upstreams may refuse a larger head, and it would use up memory.
 pub const MAX_HEAD_SIZE: usize = 8 << 10;
 
-/// Maximum bytes in the read buffer. Bytes beyond that are dropped while a request is open.
+/// Maximum bytes in the read buffer. What follows stays in the kernel until the requests in front of it are answered.
 pub const MAX_READ_AHEAD: usize = 2 * MAX_HEAD_SIZE;
 
 /// Maximum number of headers in a request, the same as in hyper.
@@ -96,8 +91,8 @@
     pub eof_received: bool,
     /// Number of bytes read from the socket since the connection was accepted, including dropped ones.
     pub received_bytes: u64,
-    /// The latest reads from the socket, from the one that returned the last byte handed to hyper on: the value of
-    /// `received_bytes` after each read, and the time of the read.
+    /// The latest arrivals, from that of the last byte handed to hyper on: how many bytes had been received by then, counted
+    /// since the connection was accepted, and the time of the read or of the look at the bytes that wait in the kernel.
     pub recent_reads: VecDeque<(u64, Instant)>,
     /// Number of bytes handed to hyper since the connection was accepted.
     pub delivered_bytes: u64,
@@ -134,9 +129,6 @@
     pub has_both_lengths: bool,
     /// Wakes hyper's last read that found no bytes to hand over, once the next request may be handed to hyper.
     pub read_waker: Option<Waker>,
-    /// More bytes were received than the read buffer holds, and the excess was dropped. The connection is closed after
-    /// the response, as part of the next request is missing.
-    pub pipelined_bytes_dropped: bool,
     /// The connection is to be reset instead of closed, as the response was aborted and only an RST can show that to
     /// the client.
     pub reset_requested: bool,
@@ -167,7 +159,6 @@
             response_stalled_since: None,
             has_both_lengths: false,
             read_waker: None,
-            pipelined_bytes_dropped: false,
             reset_requested: false,
         }
     }
@@ -252,7 +243,7 @@
 
     /// Whether no request may follow the current one on this connection.
     pub fn must_be_last(&self) -> bool {
-        self.phase == Phase::Unbounded || self.pipelined_bytes_dropped
+        self.phase == Phase::Unbounded
     }
 
     /// Marks the current request as complete, as hyper has read it to its end. Returns when its last byte was received.
@@ -333,21 +324,19 @@
         }
     }
 
-    /// Reads from the socket into the read buffer. While a request is open, the bytes that follow it are read as well,
-    /// as the client's FIN would not be seen behind unread bytes. Bytes beyond `MAX_READ_AHEAD` are dropped, and the
-    /// connection is closed after the response.
+    /// Whether no further bytes may be read before those in the read buffer are handed to hyper.
+    pub fn is_read_buffer_full(&self) -> bool {
+        self.free_space() == 0
+    }
+
+    /// Reads from the socket into the read buffer, which must not be full. While a request is open, the bytes that follow
+    /// it are read as well, as long as there is room, so that they need not be read when the next request starts.
     pub fn read(&mut self, tcp: &TcpStream) -> io::Result<()> {
-        let free_space = MAX_READ_AHEAD.saturating_sub(self.read_buffer.len());
-        let received = if free_space > 0 {
-            self.read_buffer.reserve(free_space.min(self.read_size()));
-            let read = tcp.try_read_buf(&mut self.read_buffer);
-            self.release_empty_buffer();
-            read?
-        } else {
-            self.pipelined_bytes_dropped = true;
-            tcp.try_read(&mut [0; MAX_HEAD_SIZE])?
-        };
-        self.record_read(received);
+        let free_space = self.free_space();
+        self.read_buffer.reserve(free_space.min(self.read_size()));
+        let read = tcp.try_read_buf(&mut self.read_buffer);
+        self.release_empty_buffer();
+        self.record_read(read?);
         Ok(())
     }
 
@@ -366,18 +355,30 @@
         }
     }
 
-    /// Appends bytes to the read buffer that were read from the socket and follow the current request. Bytes beyond
-    /// `MAX_READ_AHEAD` are dropped.
+    /// Appends bytes to the read buffer that were read from the socket and follow the current request.
     pub fn append_pipelined(&mut self, bytes: &[u8]) {
-        let free_space = MAX_READ_AHEAD.saturating_sub(self.read_buffer.len());
-        self.read_buffer.extend_from_slice(&bytes[..free_space.min(bytes.len())]);
-        self.pipelined_bytes_dropped |= bytes.len() > free_space;
+        self.read_buffer.extend_from_slice(bytes);
         self.record_read(bytes.len());
     }
 
-    /// Whether more bytes follow the current request than a client that waits for its response would send.
-    pub fn exceeds_pipelined_limit(&self) -> bool {
-        self.phase == Phase::Complete && self.received_bytes - self.delivered_bytes > MAX_PIPELINED_BYTES
+    /// Number of bytes that the read buffer has room for.
+    pub fn free_space(&self) -> usize {
+        MAX_READ_AHEAD.saturating_sub(self.read_buffer.len())
+    }
+
+    /// Records that the kernel has received this many bytes that were not read yet. The time of a request that waits there
+    /// runs from then on.
+    pub fn record_unread(&mut self, unread: u64) {
+        self.record_arrival(self.received_bytes + unread, Instant::now());
+    }
+
+    /// Records that the bytes up to a position have been received by now, unless that is recorded already.
+    fn record_arrival(&mut self, position: u64, now: Instant) {
+        match self.recent_reads.back_mut() {
+            Some((end, _)) if *end >= position => {}
+            Some((end, at)) if now - *at < READ_MERGE_INTERVAL => *end = position,
+            _ => self.recent_reads.push_back((position, now)),
+        }
     }
 
     /// Records a read of `received` bytes; zero bytes are the client's FIN.
@@ -392,10 +393,7 @@
         }
         self.received_bytes += received as u64;
         self.arrival.record_read(self.received_bytes, wait.is_some(), now);
-        match self.recent_reads.back_mut() {
-            Some((end, at)) if now - *at < READ_MERGE_INTERVAL => *end = self.received_bytes,
-            _ => self.recent_reads.push_back((self.received_bytes, now)),
-        }
+        self.record_arrival(self.received_bytes, now);
     }
 
     /// Parses the next head if the read buffer contains all of it. A head that hyper will reject is handed to hyper
