Tell a process that starts beside this one which endpoints drain or are gone

Cause: operators' orders and request ids are handed over in the shared folder, but not what discovery has told. The new process began with its configured list, which is older.

Change: the uids of draining and removed endpoints are stored in the folder, with the revision and the address of discovery, at the check of the folder every 0.1 s. A process that knows only its configured list has the endpoints drain that a running process beside it has stored, unless its list is newer or from another address. What discovery tells it goes before.

--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -234,7 +234,7 @@
         }
         self.failures = 0;
         self.state = WatchState { revision: listing.rev, needs_full_list: false, may_have_missed: false };
-        let message = DispatcherMessage::EndpointList(listing);
+        let message = DispatcherMessage::EndpointList { listing, discovery: self.address };
         self.dispatcher_sender.send(message).map_err(|_| DispatcherStopped)?;
         self.discovery_attempted_sender.send_replace(true);
         Ok(())
--- a/src/proxy/dispatcher/endpoint_list.rs
+++ b/src/proxy/dispatcher/endpoint_list.rs
@@ -21,6 +21,7 @@
             self.handle_event(Event::EndpointsChanged(&entries));
         }
         self.remove_delisted_endpoints(&listing);
+        self.withdrawn = self.withdrawn_for_others();
         if entries.iter().any(|entry| entry.state == EndpointState::InService) {
             self.ready_sender.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod requests;
 mod timers;
+mod withdrawn;
 
 use crate::config::Config;
 use crate::config::endpoint_listing::Listing;
@@ -25,6 +26,7 @@
 use crate::proxy::shutdown_schedule::ShutdownReceiver;
 use crate::proxy::start_times::{ListOrigin, StartTimes};
 use crate::proxy::upstream::pool::IdlePool;
+use crate::proxy::withdrawn_endpoints::WithdrawnEndpoints;
 use balancer::decision::LoadBalancer;
 use balancer::decision::{Action, AttemptEnd, EndpointId, Event, LoadReport, RequestId, Time};
 use hyper::Request;
@@ -147,6 +149,10 @@
     endpoint_ids: HashMap<String, EndpointId>,
     /// The last id that was assigned; ids are never reused.
     last_endpoint_id: u32,
+    /// The latest list that was applied.
+    applied_list: AppliedList,
+    /// The endpoints that get no new requests, for a process that starts beside this one.
+    withdrawn: Option<WithdrawnEndpoints>,
     /// The listed endpoints.
     endpoints: HashMap<EndpointId, Upstream>,
     /// How the pauses within the responses of listed endpoints ended.
@@ -164,6 +170,16 @@
     queued_attempt_ends: VecDeque<QueuedAttemptEnd>,
 }
 
+/// The latest list that was applied.
+#[derive(Clone, Copy)]
+struct AppliedList {
+    /// The address of the discovery service that it is from.
+    discovery: SocketAddr,
+    revision: u64,
+    /// It is the configured one, to which discovery has added nothing.
+    is_configured: bool,
+}
+
 /// The process behind an endpoint, as the endpoint list describes it.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct Upstream {
@@ -211,6 +227,12 @@
             requests: HashMap::new(),
             endpoint_ids: HashMap::new(),
             last_endpoint_id: 0,
+            applied_list: AppliedList {
+                discovery: config.discovery,
+                revision: config.known.rev,
+                is_configured: true,
+            },
+            withdrawn: None,
             endpoints: HashMap::new(),
             response_pauses: HashMap::new(),
             idle_pool,
@@ -222,11 +244,14 @@
             queued_attempt_ends: VecDeque::new(),
             config,
         };
-        if let Some(state) = folder_state {
+        let mut withdrawn_elsewhere = Vec::new();
+        if let Some(mut state) = folder_state {
+            withdrawn_elsewhere = std::mem::take(&mut state.withdrawn);
             dispatcher.on_folder_state(state); // the offline list must be known before anything is sent
         }
         let known = Listing { all: true, ..dispatcher.config.known.clone() };
         dispatcher.on_endpoint_list(known, ListOrigin::Configuration);
+        dispatcher.apply_withdrawn(&withdrawn_elsewhere);
         dispatcher.set_timer(IDLE_SWEEP_INTERVAL, Timer::IdleSweep);
         if dispatcher.shared_folder.is_some() {
             dispatcher.set_timer(SHARED_FOLDER_CHECK_INTERVAL, Timer::SharedFolderCheck);
@@ -266,7 +291,10 @@
             DispatcherMessage::AttemptEnded(id, number, result) => self.on_attempt_ended(id, number, result),
             DispatcherMessage::LoadQueryEnded(endpoint, result) => self.on_load_query_ended(endpoint, result),
             DispatcherMessage::ResourceShortage => self.idle_pool.close_all(),
-            DispatcherMessage::EndpointList(listing) => self.on_endpoint_list(listing, ListOrigin::Discovery),
+            DispatcherMessage::EndpointList { listing, discovery } => {
+                self.applied_list = AppliedList { discovery, revision: listing.rev, is_configured: false };
+                self.on_endpoint_list(listing, ListOrigin::Discovery);
+            }
             DispatcherMessage::DiscoveryFailed => self.handle_event(Event::DiscoveryFailed),
             DispatcherMessage::DiscoveryMoved => self.handle_event(Event::DiscoveryMoved),
             DispatcherMessage::OperatorOrder(request) => self.on_operator_order(request),
--- a/src/proxy/dispatcher/operators.rs
+++ b/src/proxy/dispatcher/operators.rs
@@ -11,6 +11,7 @@
         match event {
             FolderEvent::CheckFinished(state) => {
                 self.shared_folder.iter_mut().for_each(SharedFolder::finish_check);
+                self.apply_withdrawn(&state.withdrawn);
                 self.on_folder_state(state);
             }
             FolderEvent::OrderStored(request, offline) => {
@@ -28,7 +29,7 @@
     /// Applies the orders that operators gave to another process, and adapts the connection limit to whether another
     /// process may be serving.
     pub(super) fn on_folder_state(&mut self, state: FolderState) {
-        let FolderState { offline, overlapping } = state;
+        let FolderState { offline, overlapping, .. } = state;
         if offline != self.offline {
             self.apply_offline_list(offline);
         }
--- a/src/proxy/dispatcher/timers.rs
+++ b/src/proxy/dispatcher/timers.rs
@@ -3,7 +3,6 @@
 
 use super::{Dispatcher, IDLE_SWEEP_INTERVAL, SHARED_FOLDER_CHECK_INTERVAL, Timer};
 use crate::proxy::messages::FinalResponse;
-use crate::proxy::shared_folder::SharedFolder;
 use balancer::decision::{Event, RequestId, Time};
 use std::cmp::Reverse;
 
@@ -26,7 +25,8 @@
                     self.set_timer(IDLE_SWEEP_INTERVAL, Timer::IdleSweep);
                 }
                 Timer::SharedFolderCheck => {
-                    self.shared_folder.iter_mut().for_each(SharedFolder::check);
+                    let withdrawn = &self.withdrawn;
+                    self.shared_folder.iter_mut().for_each(|folder| folder.check(withdrawn.clone()));
                     self.update_host_counts();
                     self.set_timer(SHARED_FOLDER_CHECK_INTERVAL, Timer::SharedFolderCheck);
                 }
--- a/src/proxy/messages.rs
+++ b/src/proxy/messages.rs
@@ -11,6 +11,7 @@
 use crate::proxy::upstream::exchange::{AttemptResult, StartedResponse};
 use balancer::decision::{EndpointId, RequestId};
 use hyper::{Request, Response, StatusCode};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -32,8 +33,8 @@
     LoadQueryEnded(EndpointId, AttemptResult),
     /// Clients cannot be accepted for lack of file descriptors or socket memory. Closing idle connections frees both.
     ResourceShortage,
-    /// Discovery returned a complete endpoint list or a change to it.
-    EndpointList(Listing),
+    /// The discovery service at this address returned a complete endpoint list or a change to it.
+    EndpointList { listing: Listing, discovery: SocketAddr },
     /// A request to discovery failed, or the watch on the endpoint list broke.
     DiscoveryFailed,
     /// Discovery has moved to another address, which has not been queried yet.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 mod start_times;
 mod sync;
 mod upstream;
+mod withdrawn_endpoints;
 
 use crate::config::Config;
 use crate::transient_errors::retry_blocking;
--- a/src/proxy/process_handover.rs
+++ b/src/proxy/process_handover.rs
@@ -58,6 +58,11 @@
         others_run || self.announcement.is_none()
     }
 
+    /// Whether the process with this name may be running.
+    pub fn is_running(&self, name: &str) -> bool {
+        may_be_running(&self.folder.join(format!("{ANNOUNCEMENT_PREFIX}{name}")))
+    }
+
     /// Announces this process, unless it is announced already.
     fn announce(&mut self) {
         if self.announcement.is_some() {
--- a/src/proxy/shared_folder.rs
+++ b/src/proxy/shared_folder.rs
@@ -5,6 +5,7 @@
 use super::offline_endpoints::{OfflineEndpoints, ReadOutcome};
 use super::orders::{OfflineList, OrderRequest};
 use super::process_handover::ProcessHandover;
+use super::withdrawn_endpoints::{WithdrawnEndpoints, WithdrawnEndpointsFile};
 use std::io;
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -18,8 +19,8 @@
 
 /// A job for the thread.
 enum Job {
-    /// Look for changes by other processes.
-    Check,
+    /// Look for changes by other processes, and tell them which endpoints get no new requests.
+    Check(Option<WithdrawnEndpoints>),
     /// Carry out an order.
     StoreOrder(OrderRequest),
 }
@@ -41,6 +42,8 @@
     pub offline: OfflineList,
     /// Whether another process of this balancer may be serving beside this one.
     pub overlapping: bool,
+    /// The endpoints that get no new requests, as other processes know it.
+    pub withdrawn: Vec<WithdrawnEndpoints>,
 }
 
 /// The handle of the shared folder, which sends jobs to its thread.
@@ -59,19 +62,28 @@
         report: impl Fn(FolderEvent) + Send + 'static,
     ) -> io::Result<(Self, FolderState)> {
         let handover = folder.clone().map(|folder| ProcessHandover::new(folder, name));
+        let withdrawn = folder.clone().map(|folder| WithdrawnEndpointsFile::new(folder, name));
         let endpoints = OfflineEndpoints::new(folder);
-        let mut worker = Worker { endpoints, handover, read_failed: false, repair_failed: false };
+        let mut worker = Worker {
+            endpoints,
+            handover,
+            withdrawn,
+            read_failed: false,
+            repair_failed: false,
+            store_failed: false,
+        };
         worker.read_at_start();
-        let state = worker.check();
+        let state = worker.check(None);
         let (jobs, inbox) = channel();
         std::thread::Builder::new().name("shared-folder".into()).spawn(move || worker.run(&inbox, report))?;
         Ok((Self { jobs, checking: false }, state))
     }
 
-    /// Starts a check for changes by other processes, unless one is running.
-    pub fn check(&mut self) {
+    /// Starts a check for changes by other processes, unless one is running. They are told of the endpoints in
+    /// `withdrawn`, also if they start later.
+    pub fn check(&mut self, withdrawn: Option<WithdrawnEndpoints>) {
         if !std::mem::replace(&mut self.checking, true) {
-            self.jobs.send(Job::Check).ok(); // the thread runs as long as this sender exists
+            self.jobs.send(Job::Check(withdrawn)).ok(); // the thread runs as long as this sender exists
         }
     }
 
@@ -91,10 +103,14 @@
     endpoints: OfflineEndpoints,
     /// `None` without a folder.
     handover: Option<ProcessHandover>,
+    /// `None` without a folder.
+    withdrawn: Option<WithdrawnEndpointsFile>,
     /// Whether the last read failed, which is logged once.
     read_failed: bool,
     /// Whether the last repair failed, which is logged once.
     repair_failed: bool,
+    /// Whether the last try to tell of withdrawn endpoints failed, which is logged once.
+    store_failed: bool,
 }
 
 impl Worker {
@@ -102,7 +118,7 @@
     fn run(mut self, inbox: &Receiver<Job>, report: impl Fn(FolderEvent)) {
         for job in inbox {
             report(match job {
-                Job::Check => FolderEvent::CheckFinished(self.check()),
+                Job::Check(withdrawn) => FolderEvent::CheckFinished(self.check(withdrawn.as_ref())),
                 Job::StoreOrder(request) => self.store_order(request),
             });
         }
@@ -116,12 +132,25 @@
         }
     }
 
-    /// Reads the offline list, repairs it if needed, and looks for other processes.
-    fn check(&mut self) -> FolderState {
+    /// Reads the offline list, repairs it if needed, looks for other processes, and exchanges withdrawn endpoints with them.
+    fn check(&mut self, own_withdrawn: Option<&WithdrawnEndpoints>) -> FolderState {
         self.read_list();
         self.repair();
         let overlapping = self.handover.as_mut().is_some_and(ProcessHandover::overlaps);
-        FolderState { offline: self.endpoints.current().clone(), overlapping }
+        let withdrawn = match (&mut self.withdrawn, &self.handover) {
+            (Some(file), Some(handover)) => {
+                let result = file.store(own_withdrawn);
+                if let Err(error) = &result
+                    && !self.store_failed
+                {
+                    tracing::info!("the withdrawn upstreams cannot be told to the other process: {error}");
+                }
+                self.store_failed = result.is_err();
+                if overlapping { file.read_others(handover) } else { Vec::new() }
+            }
+            _ => Vec::new(),
+        };
+        FolderState { offline: self.endpoints.current().clone(), overlapping, withdrawn }
     }
 
     /// Reads the offline list and logs failures. Of consecutive reads that fail, only the first is logged.
