Send the bursts of the pipelining test in a class that is not repeated

A run of the test failed beside a build and other tests: of 130 requests, number 59 got 502. Traced by delaying the stand-in by 0.9 s at that request: attempts of a keyed request are ended as overdue and repeated once, and with a single upstream, which is delayed again, the request fails. That is the rule for overdue attempts, and not what the test guards. With a class that is not repeated, the delayed request is answered, and the check is the same.

--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -9,9 +9,10 @@
 /// An attempt may begin this long after its client has left.
 const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(100);
 
-/// A request whose body has this length and begins with its number.
+/// A request whose body has this length and begins with its number. It is of a class whose attempts are not ended early where a busy
+/// machine delays the upstream.
 fn numbered_request(number: usize, length: usize) -> String {
-    request_text("pay", LONG_BUDGET, &format!("{number:0<length$}"))
+    request_text("post", LONG_BUDGET, &format!("{number:0<length$}"))
 }
 
 /// An upstream that responds with the body of each request, after this time.
@@ -41,7 +42,7 @@
             assert_eq!(response.status(), 200, "{count}: {number}");
             assert_eq!(response.body, format!("{number:0<length$}").as_bytes(), "{count}: {number}");
         }
-        assert!(client.request("pay", LONG_BUDGET, "last").is_some(), "{count}: the connection is kept");
+        assert!(client.request("post", LONG_BUDGET, "last").is_some(), "{count}: the connection is kept");
     }
 }
 
