Look at unread bytes in one place, and copy less at each check of the folder

- The look at the bytes behind a full read buffer stood twice in connection.rs, in two impl blocks.
It is one function now.
- The list of withdrawn endpoints was cloned on the thread of the requests every 0.1 s, also while no check was started.
It is shared.
A process without a list of another one no longer goes through its configured list at each check.
- The rule "log the first of consecutive failures" stood twice in shared_folder.rs, and one function had grown by the exchange of lists.
Both are functions of their own.
- The pause after a failed call is a range in place of a bare tuple; a derive that nothing used is gone.
- Four test files had the same start_with_upstream.
It is in tests/common/process.rs, and a fifth file uses it.
No assertion changed.

--- a/src/proxy/discovery/client.rs
+++ b/src/proxy/discovery/client.rs
@@ -36,7 +36,6 @@
 }
 
 /// What a call asks for.
-#[derive(Clone)]
 pub struct ListRequest {
     /// The revision after which changes are requested; `None` for the full list.
     pub after: Option<u64>,
--- a/src/proxy/discovery/mod.rs
+++ b/src/proxy/discovery/mod.rs
@@ -10,6 +10,7 @@
 use client::{CallTimeouts, ListRequest};
 use fastrand::Rng;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -39,7 +40,7 @@
 };
 /// Shortest and longest pause after a failed call to an agent, in milliseconds. What the agent gets during the pause counts as
 /// told, and drained endpoints may be used for only 50 ms from then on.
-const FAILURE_PAUSE_MS: (u64, u64) = (10, 20);
+const FAILURE_PAUSE_MS: RangeInclusive<u64> = 10..=20;
 /// Pause before the next request after a response without changes that came before its wait was over. An agent that
 /// responds at once instead of waiting would otherwise get requests in a tight loop.
 const UNCHANGED_PAUSE: Duration = Duration::from_millis(20);
@@ -205,7 +206,7 @@
 
     /// Pauses after a failure. Returns the list if an earlier call is answered meanwhile.
     async fn pause(&mut self) -> Option<Listing> {
-        let pause = Duration::from_millis(self.rng.u64(FAILURE_PAUSE_MS.0..=FAILURE_PAUSE_MS.1));
+        let pause = Duration::from_millis(self.rng.u64(FAILURE_PAUSE_MS));
         tokio::select! {
             listing = self.calls.answer() => Some(listing),
             () = sleep(pause) => None,
--- a/src/proxy/dispatcher/endpoint_list.rs
+++ b/src/proxy/dispatcher/endpoint_list.rs
@@ -7,6 +7,7 @@
 use balancer::decision::{EndpointEntry, EndpointId, EndpointState, Event, ZoneId};
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 impl Dispatcher {
     /// Applies a list from the configuration or from discovery: a complete one or the changed endpoints.
@@ -21,7 +22,7 @@
             self.handle_event(Event::EndpointsChanged(&entries));
         }
         self.remove_delisted_endpoints(&listing);
-        self.withdrawn = self.withdrawn_for_others();
+        self.withdrawn = self.withdrawn_for_others().map(Arc::new);
         if entries.iter().any(|entry| entry.state == EndpointState::InService) {
             self.ready_sender.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
--- a/src/proxy/dispatcher/mod.rs
+++ b/src/proxy/dispatcher/mod.rs
@@ -152,7 +152,7 @@
     /// The latest list that was applied.
     applied_list: AppliedList,
     /// The endpoints that get no new requests, for a process that starts beside this one.
-    withdrawn: Option<WithdrawnEndpoints>,
+    withdrawn: Option<Arc<WithdrawnEndpoints>>,
     /// The listed endpoints.
     endpoints: HashMap<EndpointId, Upstream>,
     /// How the pauses within the responses of listed endpoints ended.
--- a/src/proxy/dispatcher/withdrawn.rs
+++ b/src/proxy/dispatcher/withdrawn.rs
@@ -21,7 +21,7 @@
     /// knows only its configured list, and that is no newer.
     pub(super) fn apply_withdrawn(&mut self, others: &[WithdrawnEndpoints]) {
         let AppliedList { discovery, revision, is_configured } = self.applied_list;
-        if !is_configured {
+        if !is_configured || others.is_empty() {
             return;
         }
         let newer = others.iter().filter(|other| other.discovery == discovery && other.revision >= revision);
--- a/src/proxy/downstream/connection.rs
+++ b/src/proxy/downstream/connection.rs
@@ -104,12 +104,17 @@
                 if framing.eof_received {
                     return;
                 }
-                (!framing.is_read_buffer_full()).then(|| framing.read(&self.tcp))
+                if framing.is_read_buffer_full() {
+                    let is_closed = matches!(socket_state(&self.tcp), SocketState::Closed);
+                    if unread_may_hide_disconnect(&self.tcp, &mut framing) || is_closed {
+                        return;
+                    }
+                    None
+                } else {
+                    Some(framing.read(&self.tcp))
+                }
             };
             let Some(read) = read else {
-                if self.is_disconnected_behind_unread() {
-                    return;
-                }
                 sleep(ARRIVAL_CHECK_INTERVAL).await;
                 continue;
             };
@@ -122,18 +127,12 @@
     }
 }
 
-impl ClientConnection {
-    /// Whether the client has disconnected behind the bytes that wait in the kernel while the read buffer is full.
-    fn is_disconnected_behind_unread(&self) -> bool {
-        let unread = ioctl_fionread(&*self.tcp).unwrap_or(0);
-        lock(&self.framing).record_unread(unread);
-        matches!(socket_state(&self.tcp), SocketState::Closed) || hides_disconnect(unread)
-    }
-}
-
-/// Whether this many bytes in the kernel may keep the client's FIN from arriving, as the window may be closed. A regular client
-/// does not send so much ahead, and counts as disconnected.
-fn hides_disconnect(unread: u64) -> bool {
+/// Looks at the bytes that wait in the kernel while the read buffer is full. Returns whether there are so many that they may keep
+/// the client's FIN from arriving, as the window may be closed. A regular client does not send so much ahead, and counts as
+/// disconnected.
+fn unread_may_hide_disconnect(tcp: &TcpStream, framing: &mut RequestFraming) -> bool {
+    let unread = ioctl_fionread(tcp).unwrap_or(0);
+    framing.record_unread(unread);
     unread >= OPEN_WINDOW
 }
 
@@ -168,9 +167,7 @@
             }
             let length = framing.free_space().min(buffer.len());
             if length == 0 {
-                let unread = ioctl_fionread(&*tcp).unwrap_or(0);
-                framing.record_unread(unread);
-                return hides_disconnect(unread);
+                return unread_may_hide_disconnect(&tcp, &mut framing);
             }
             match (&*SockRef::from(&*tcp)).read(&mut buffer[..length]) {
                 Ok(length) => framing.append_pipelined(&buffer[..length]),
--- a/src/proxy/shared_folder.rs
+++ b/src/proxy/shared_folder.rs
@@ -6,8 +6,10 @@
 use super::orders::{OfflineList, OrderRequest};
 use super::process_handover::ProcessHandover;
 use super::withdrawn_endpoints::{WithdrawnEndpoints, WithdrawnEndpointsFile};
+use std::fmt::Display;
 use std::io;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -20,7 +22,7 @@
 /// A job for the thread.
 enum Job {
     /// Look for changes by other processes, and tell them which endpoints get no new requests.
-    Check(Option<WithdrawnEndpoints>),
+    Check(Option<Arc<WithdrawnEndpoints>>),
     /// Carry out an order.
     StoreOrder(OrderRequest),
 }
@@ -81,7 +83,7 @@
 
     /// Starts a check for changes by other processes, unless one is running. They are told of the endpoints in
     /// `withdrawn`, also if they start later.
-    pub fn check(&mut self, withdrawn: Option<WithdrawnEndpoints>) {
+    pub fn check(&mut self, withdrawn: Option<Arc<WithdrawnEndpoints>>) {
         if !std::mem::replace(&mut self.checking, true) {
             self.jobs.send(Job::Check(withdrawn)).ok(); // the thread runs as long as this sender exists
         }
@@ -118,7 +120,7 @@
     fn run(mut self, inbox: &Receiver<Job>, report: impl Fn(FolderEvent)) {
         for job in inbox {
             report(match job {
-                Job::Check(withdrawn) => FolderEvent::CheckFinished(self.check(withdrawn.as_ref())),
+                Job::Check(withdrawn) => FolderEvent::CheckFinished(self.check(withdrawn.as_deref())),
                 Job::StoreOrder(request) => self.store_order(request),
             });
         }
@@ -137,17 +139,9 @@
         self.read_list();
         self.repair();
         let overlapping = self.handover.as_mut().is_some_and(ProcessHandover::overlaps);
-        let withdrawn = match (&mut self.withdrawn, &self.handover) {
-            (Some(file), Some(handover)) => {
-                let result = file.store(own_withdrawn);
-                if let Err(error) = &result
-                    && !self.store_failed
-                {
-                    tracing::info!("the withdrawn upstreams cannot be told to the other process: {error}");
-                }
-                self.store_failed = result.is_err();
-                if overlapping { file.read_others(handover) } else { Vec::new() }
-            }
+        self.store_withdrawn(own_withdrawn);
+        let withdrawn = match (&self.withdrawn, &self.handover) {
+            (Some(file), Some(handover)) if overlapping => file.read_others(handover),
             _ => Vec::new(),
         };
         FolderState { offline: self.endpoints.current().clone(), overlapping, withdrawn }
@@ -174,15 +168,21 @@
         }
     }
 
-    /// Repairs the offline list if needed. Of consecutive repairs that fail, only the first is logged.
+    /// Repairs the offline list if needed.
     fn repair(&mut self) {
         let result = self.endpoints.repair();
-        if let Err(error) = &result
-            && !self.repair_failed
-        {
-            tracing::info!("the list of offline upstreams cannot be written now: {error}");
-        }
-        self.repair_failed = result.is_err();
+        log_first_failure(
+            &result,
+            &mut self.repair_failed,
+            "the list of offline upstreams cannot be written now",
+        );
+    }
+
+    /// Tells other processes which endpoints get no new requests.
+    fn store_withdrawn(&mut self, withdrawn: Option<&WithdrawnEndpoints>) {
+        let Some(file) = &mut self.withdrawn else { return };
+        let text = "the withdrawn upstreams cannot be told to the other process";
+        log_first_failure(&file.store(withdrawn), &mut self.store_failed, text);
     }
 
     /// Carries out an order, unless its operator has already got the response that it timed out.
@@ -201,6 +201,16 @@
     }
 }
 
+/// Logs a failure, unless the try before has failed as well.
+fn log_first_failure<E: Display>(result: &Result<(), E>, has_failed: &mut bool, text: &str) {
+    if let Err(error) = result
+        && !*has_failed
+    {
+        tracing::info!("{text}: {error}");
+    }
+    *has_failed = result.is_err();
+}
+
 /// Whether the offline list has to be read again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadState {
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -14,11 +14,6 @@
 /// The head of a response with a chunked body.
 const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// Starts the program with this upstream alone.
-fn start_with_upstream(upstream: &Upstream) -> Program {
-    Program::start(&config(refusing_address(), &in_service(&[upstream])))
-}
-
 /// Runs this on the upstream's connection, then closes it.
 fn run_action(act: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> UpstreamAction {
     UpstreamAction::Run(Arc::new(act))
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -582,6 +582,11 @@
     }
 }
 
+/// Starts the program with this upstream alone, without discovery.
+pub fn start_with_upstream(upstream: &Upstream) -> Program {
+    Program::start(&config(refusing_address(), &in_service(&[upstream])))
+}
+
 /// Runs the program with this configuration text until it exits by itself; returns its status and log.
 pub fn run_until_exit(config: &str) -> (ExitStatus, String) {
     run_until_exit_with(config, &[])
--- a/tests/final_answers.rs
+++ b/tests/final_answers.rs
@@ -19,11 +19,6 @@
 /// Length of a body that is streamed rather than buffered.
 const LENGTH: usize = 300_000;
 
-/// Starts the program with this upstream alone.
-fn start_with_upstream(upstream: &Upstream) -> Program {
-    Program::start(&config(refusing_address(), &in_service(&[upstream])))
-}
-
 /// How a request ended.
 struct RequestOutcome {
     /// Time from sending the request to the end of the response or the connection.
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -23,11 +23,6 @@
     })
 }
 
-/// Starts the program with this upstream alone.
-fn start_with_upstream(upstream: &Upstream) -> Program {
-    Program::start(&config(refusing_address(), &in_service(&[upstream])))
-}
-
 /// Guards requests that are sent at once: of those beyond the read buffer, all were read, dropped, and never answered.
 #[test]
 fn all_requests_of_a_burst_are_answered_in_order() {
--- a/tests/responses_without_length.rs
+++ b/tests/responses_without_length.rs
@@ -245,7 +245,7 @@
                             true => long.write(upstream_delay.clone()),
                             false => trickling.write(MaxDelay::default()),
                         });
-                    let program = Program::start(&config(refusing_address(), &in_service(&[&upstream])));
+                    let program = start_with_upstream(&upstream);
                     std::thread::scope(|scope| {
                         scope.spawn(|| check_long_response(&program, long_budget, long, &max_delay));
                         scope.spawn(|| check_trickling_response(&program, trickle_budget, trickling));
@@ -272,7 +272,7 @@
     join_all(cases.map(|(case, act, first_end)| {
         std::thread::spawn(move || {
             let upstream = Upstream::start(move |_| act.clone());
-            let program = Program::start(&config(refusing_address(), &in_service(&[&upstream])));
+            let program = start_with_upstream(&upstream);
             let (received, elapsed) = send(&program, "post", BUDGET);
             assert!(received.is_none(), "{case}: complete");
             let latest = first_end + MAX_RESPONSE_DELAY;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -7,11 +7,6 @@
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
-/// Starts the program with this upstream alone.
-fn start_with_upstream(upstream: &Upstream) -> Program {
-    Program::start(&config(refusing_address(), &in_service(&[upstream])))
-}
-
 /// Handles the first request by this action and responds to all later ones with the body `second`.
 fn first_then_ok(first: UpstreamAction) -> impl Fn(&Message) -> UpstreamAction + Send + Sync {
     let count = AtomicUsize::new(0);
